Lay out the workspace: base, inner protocol, declarations and checks

Cause: nothing stands yet. The layers, lint rules, code generation, build and the contracts that the packages share come first, so that they can be filled side by side.

--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+/** The hibiscus-agent program. */
+export {};
--- /dev/null
+++ b/packages/base/src/index.ts
@@ -0,0 +1,39 @@
+/** Clock, branded ids, result codes, settings, logs, metrics and random numbers. */
+export { Clock, ManualClock, SystemClock } from './clock';
+export type { Millis, MonoTime, WallTime } from './clock';
+
+export { createId } from './ids';
+export type {
+  AttemptId,
+  Brand,
+  ConfigVersion,
+  FencingNumber,
+  IncarnationId,
+  InstanceId,
+  KeyId,
+  Offset,
+  RecordId,
+  RequestId,
+  SampleId,
+  ServiceId,
+  StepId,
+  TargetId,
+  TeamId,
+  TrainerId,
+  WeightVersion,
+  ZoneId,
+} from './ids';
+
+export { RESULT_CODES, createFailure, findCodeName, listCodes } from './codes';
+export type { CodeName, Failure, ResultCode, RunState } from './codes';
+
+export { createSetting, integerText, listText, readSettings } from './settings';
+export type { Setting, SettingProblem, SettingTable, SettingValues } from './settings';
+
+export { createLogger } from './logger';
+export type { LogFields, Logger } from './logger';
+
+export { Metrics } from './metrics';
+export type { MetricsOptions } from './metrics';
+
+export { RandomSource, createRandomSource } from './random';
--- /dev/null
+++ b/packages/config/src/declarations.ts
@@ -0,0 +1,93 @@
+/** The declarations that operators keep under version control. */
+import type { KeyId, ServiceId, TeamId, TrainerId, ZoneId } from '@hibiscushill/base';
+import { z } from 'zod';
+
+/** The version of the declaration format. */
+export const API_VERSION = 'hibiscushill/v1';
+
+const NAME = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'must be a lower-case name');
+
+function named<T>(): z.ZodType<T> {
+  return NAME as unknown as z.ZodType<T>;
+}
+
+/** What a team may use across all entries together. */
+export const TeamBounds = z.strictObject({
+  requestsPerSecond: z.number().positive(),
+  tokensPerSecond: z.number().positive(),
+  inFlight: z.number().int().positive(),
+});
+
+/** A customer whose traffic is admitted, limited and billed together. */
+export const Team = z.strictObject({
+  name: named<TeamId>(),
+  weight: z.number().positive().default(1),
+  bounds: TeamBounds,
+});
+
+/** A caller's key; only the hash of its secret is declared. */
+export const Key = z.strictObject({
+  id: z.string().regex(/^[A-Za-z0-9]{1,32}$/) as unknown as z.ZodType<KeyId>,
+  team: named<TeamId>(),
+  hash: z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 hash in hexadecimal'),
+  state: z.enum(['active', 'withdrawn']).default('active'),
+});
+
+/** A route of a service: a method and a path with an optional trailing `*`. */
+export const Route = z.strictObject({
+  method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', '*']),
+  path: z.string().startsWith('/'),
+  public: z.boolean().default(false),
+  idempotent: z.boolean().default(false),
+});
+
+/** How many targets of a service an availability zone may run. */
+export const ServiceZone = z.strictObject({
+  zone: named<ZoneId>(),
+  least: z.number().int().min(0),
+  most: z.number().int().min(0),
+});
+
+/** A service that callers reach under `/s/{name}/`. */
+export const Service = z.strictObject({
+  name: named<ServiceId>(),
+  kind: z.enum(['model', 'plain']),
+  routes: z.array(Route).min(1),
+  deadlineMs: z.number().int().positive(),
+  zones: z.array(ServiceZone).min(1),
+  slots: z.number().int().positive().default(8),
+  checksFencing: z.boolean().default(false),
+});
+
+/** The oldest sample that a trainer takes. */
+export const StalenessBound = z.strictObject({
+  versions: z.number().int().min(0),
+  ms: z.number().int().positive(),
+});
+
+/** A trainer. */
+export const Trainer = z.strictObject({
+  name: named<TrainerId>(),
+  team: named<TeamId>(),
+  service: named<ServiceId>(),
+  staleness: StalenessBound,
+  swapShare: z.number().positive().max(1).default(0.34),
+});
+
+/** All that is declared. */
+export const Declarations = z.strictObject({
+  teams: z.array(Team).default([]),
+  keys: z.array(Key).default([]),
+  services: z.array(Service).default([]),
+  trainers: z.array(Trainer).default([]),
+});
+
+export type TeamBounds = z.infer<typeof TeamBounds>;
+export type Team = z.infer<typeof Team>;
+export type Key = z.infer<typeof Key>;
+export type Route = z.infer<typeof Route>;
+export type ServiceZone = z.infer<typeof ServiceZone>;
+export type Service = z.infer<typeof Service>;
+export type StalenessBound = z.infer<typeof StalenessBound>;
+export type Trainer = z.infer<typeof Trainer>;
+export type Declarations = z.infer<typeof Declarations>;
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,2 @@
+/** Duties and leases on the log, usage windows and scaling. */
+export {};
--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,2 @@
+/** The hibiscusctl program. */
+export {};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The hibiscus-entry program. */
+export {};
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, engines and plain services. */
+export {};
--- /dev/null
+++ b/packages/fakes/src/main.ts
@@ -0,0 +1,2 @@
+/** The program. */
+export {};
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,2 @@
+/** Load and experiment tool. */
+export {};
--- /dev/null
+++ b/packages/proof/src/index.ts
@@ -0,0 +1,2 @@
+/** Launcher, fault schedules, histories and checkers. */
+export {};
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,2 @@
+/** The inner protocol between entries and agents. */
+export {};
--- /dev/null
+++ b/packages/rollout/src/index.ts
@@ -0,0 +1,2 @@
+/** Trainers, steps, samples and weight versions. */
+export {};
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+/** Target choice, limits, queues, retries and ejection. */
+export {};
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/test/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
