--- /dev/null
+++ b/packages/routing/test/fixtures.ts
@@ -0,0 +1,46 @@
+/** Values that several tests of routing start from. */
+import {
+  type AttemptId,
+  type MonoTime,
+  type ServiceId,
+  type TargetId,
+  type TeamId,
+  type ZoneId,
+} from '@hibiscushill/base';
+
+import type { ChoiceRequest, QueueItem, TargetView } from '../src';
+
+export const SERVICE = 'tasting-models' as ServiceId;
+
+export function createTarget(id: string, changes: Partial<TargetView> = {}): TargetView {
+  return {
+    id: id as TargetId,
+    zone: 'ba' as ZoneId,
+    inFlight: 0,
+    reported: { running: 0, queued: 0, queuedTokens: 0, slots: 8, atMono: 0 as MonoTime },
+    sentSinceReport: 0,
+    leaving: false,
+    ejected: false,
+    ready: true,
+    ...changes,
+  };
+}
+
+export function createRequest(changes: Partial<ChoiceRequest> = {}): ChoiceRequest {
+  return { service: SERVICE, zone: 'ba' as ZoneId, costTokens: 1, exclude: new Set(), ...changes };
+}
+
+export function createItem(
+  id: string,
+  changes: { team?: string; weight?: number; costTokens?: number; deadline?: number } = {},
+): QueueItem<string> {
+  const { team = 'a', weight = 1, costTokens = 1, deadline = Infinity } = changes;
+  return {
+    id: id as AttemptId,
+    team: team as TeamId,
+    weight,
+    costTokens,
+    deadline: deadline as MonoTime,
+    value: id,
+  };
+}
