--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,30 @@
 /** The inner protocol between entries and agents. */
-export {};
+export { LinkClient } from './link-client';
+export type { LinkClientOptions, LinkHandlers, ToAgent, ToEntry } from './link-client';
+
+export { LinkServer, LinkSession } from './link-server';
+export type { LinkServerHandlers, LinkServerOptions } from './link-server';
+
+export { PeerClient, PeerServer } from './peer';
+
+export { DEFAULT_HEARTBEAT, HeartbeatTracker } from './heartbeat';
+export type { HeartbeatOptions } from './heartbeat';
+
+export type {
+  AgentHello,
+  Attach,
+  ConfigOffer,
+  End,
+  EntryHello,
+  Header,
+  Heartbeat,
+  Load,
+  NotRun,
+  PeerMessage,
+  Run,
+  Segment,
+  UsageItem,
+  WeightOrder,
+  WeightQuery,
+  WeightReport,
+} from './generated/link';
--- /dev/null
+++ b/packages/protocol/src/peer.ts
@@ -0,0 +1,85 @@
+/** Exchanges between entries: a unary call with a deadline. */
+import {
+  Metadata,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  credentials,
+  type sendUnaryData,
+} from '@grpc/grpc-js';
+import { type Failure, type Millis, createFailure } from '@hibiscushill/base';
+import { ResultAsync, errAsync, okAsync } from 'neverthrow';
+
+import { CLIENT_OPTIONS, SERVER_OPTIONS } from './channel';
+import { PeerClient as PeerStub, type PeerMessage, PeerService } from './generated/link';
+
+/** A peer of this entry. */
+export class PeerClient {
+  readonly address: string;
+
+  readonly #timeoutMs: Millis;
+
+  /**
+   * @param address - the peer's inner address
+   * @param timeoutMs - the deadline of an exchange, in milliseconds
+   */
+  constructor(address: string, timeoutMs: Millis = 800) {
+    this.address = address;
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /**
+   * Exchanges messages over a fresh connection, so that a silent one is never reused.
+   *
+   * @param message - what to say
+   * @returns the peer's answer
+   */
+  exchange(message: PeerMessage): ResultAsync<PeerMessage, Failure> {
+    const stub = new PeerStub(this.address, credentials.createInsecure(), CLIENT_OPTIONS);
+    const answer = new Promise<PeerMessage | undefined>((resolve) => {
+      const deadline = Date.now() + this.#timeoutMs;
+      stub.exchange(message, new Metadata(), { deadline }, (err, res) => {
+        stub.close();
+        resolve(err ? undefined : res);
+      });
+    });
+    return ResultAsync.fromSafePromise(answer).andThen((res) =>
+      res === undefined ? errAsync(createFailure('target_down')) : okAsync(res),
+    );
+  }
+}
+
+/** The server that peers call. */
+export class PeerServer {
+  readonly #server = new Server(SERVER_OPTIONS);
+
+  /** @param answer - makes the answer to a peer's message */
+  constructor(answer: (message: PeerMessage) => PeerMessage) {
+    this.#server.addService(PeerService, {
+      exchange: (
+        call: ServerUnaryCall<PeerMessage, PeerMessage>,
+        callback: sendUnaryData<PeerMessage>,
+      ) => callback(null, answer(call.request)),
+    });
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - host and port; port 0 takes a free one
+   * @returns the port
+   */
+  listen(address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.bindAsync(address, ServerCredentials.createInsecure(), (err, port) => {
+        if (err) reject(err);
+        else resolve(port);
+      });
+    });
+  }
+
+  /** Closes the server at once. */
+  close(): void {
+    this.#server.forceShutdown();
+  }
+}
