--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -12,4 +12,24 @@
   Trainer,
 } from './declarations';
 
+export { checkReferences, formatPath, parseDeclarations } from './checks';
+export type { DeclarationProblem, ProblemPath } from './checks';
+
+export { formatProblem, loadDeclarations, readDeclarations } from './loading';
+export type { FileProblem, SourceFile } from './loading';
+
+export { SECTIONS, compareDeclarations } from './difference';
+export type { FieldChange, ItemChange, Section } from './difference';
+
+export { toCanonical } from './canonical';
+
+export { CHANGE_KIND, ConfigHistory, NO_VERSION, SNAPSHOT_KIND } from './history';
+export type { ConfigChange, ConfigSnapshot, ConfigState, Judgement, Verdict } from './history';
+
+export { ConfigStore } from './store';
+export type { ChangeListener, ConfigStoreOptions } from './store';
+
+export { checkKey, checkKeyId, createKey, hashSecret } from './keys';
+export type { CreatedKey, KeyHolder } from './keys';
+
 export { ConfigView } from './view';
--- /dev/null
+++ b/packages/config/src/loading.ts
@@ -0,0 +1,173 @@
+/** Loading of declarations from a directory of YAML files. */
+import { readFile, readdir } from 'node:fs/promises';
+import { join } from 'node:path';
+
+import { type Result, type ResultAsync, err, fromPromise, ok } from 'neverthrow';
+import { type Document, LineCounter, isNode, parseAllDocuments } from 'yaml';
+import { z } from 'zod';
+
+import { type ProblemPath, formatPath, parseDeclarations } from './checks';
+import { API_VERSION, type Declarations } from './declarations';
+import { SECTIONS, type Section } from './difference';
+
+/** A problem in a file of declarations. */
+export interface FileProblem {
+  readonly file: string;
+  /** The line, from 1 on; 0 when the problem concerns the whole file. */
+  readonly line: number;
+  /** Where it stands, such as `keys[3].team`; empty for the whole document. */
+  readonly path: string;
+  readonly message: string;
+}
+
+/** The text of a file. */
+export interface SourceFile {
+  readonly file: string;
+  readonly text: string;
+}
+
+interface Source {
+  readonly file: string;
+  readonly doc: Document.Parsed;
+  readonly lines: LineCounter;
+}
+
+interface Origin {
+  readonly source: Source;
+  readonly index: number;
+}
+
+interface Loaded {
+  readonly problems: FileProblem[];
+  readonly merged: Record<Section, unknown[]>;
+  readonly origins: Record<Section, Origin[]>;
+}
+
+const EXTENSION = /\.ya?ml$/;
+
+const DocumentShape = z.strictObject({
+  apiVersion: z.literal(API_VERSION),
+  teams: z.array(z.unknown()).optional(),
+  keys: z.array(z.unknown()).optional(),
+  services: z.array(z.unknown()).optional(),
+  trainers: z.array(z.unknown()).optional(),
+});
+
+/**
+ * Loads all `.yaml` and `.yml` files of a directory, in the order of their names.
+ *
+ * @param directory - the directory; others below it are not read
+ * @returns the declarations of all files together, or every problem found
+ */
+export function loadDeclarations(directory: string): ResultAsync<Declarations, FileProblem[]> {
+  return fromPromise(readFiles(directory), (error): FileProblem[] => [
+    { file: directory, line: 0, path: '', message: describe(error) },
+  ]).andThen((files) => {
+    if (files.length > 0) return readDeclarations(files);
+    return err([{ file: directory, line: 0, path: '', message: 'no YAML file is here' }]);
+  });
+}
+
+/**
+ * Reads declarations from the text of files.
+ *
+ * @param files - the files
+ * @returns the declarations of all files together, or every problem found
+ */
+export function readDeclarations(
+  files: readonly SourceFile[],
+): Result<Declarations, FileProblem[]> {
+  const loaded: Loaded = { problems: [], merged: emptySections(), origins: emptySections() };
+  files.forEach((file) => readFileInto(file, loaded));
+  // References into a file that could not be read would be reported as broken.
+  if (loaded.problems.length > 0) return err(loaded.problems);
+  const parsed = parseDeclarations(loaded.merged);
+  return parsed.mapErr((problems) =>
+    problems.map(({ path, message }) => locate(loaded, path, message)),
+  );
+}
+
+/**
+ * Writes a problem on one line.
+ *
+ * @param problem - the problem
+ * @returns text such as `keys.yaml:7: keys[3].team: no team is named x`
+ */
+export function formatProblem(problem: FileProblem): string {
+  const place = problem.line > 0 ? `${problem.file}:${problem.line}` : problem.file;
+  return [place, problem.path, problem.message].filter((part) => part !== '').join(': ');
+}
+
+async function readFiles(directory: string): Promise<SourceFile[]> {
+  const names = (await readdir(directory)).filter((name) => EXTENSION.test(name)).sort();
+  return Promise.all(
+    names.map(async (name) => {
+      const file = join(directory, name);
+      return { file, text: await readFile(file, 'utf8') };
+    }),
+  );
+}
+
+function readFileInto(file: SourceFile, loaded: Loaded): void {
+  const lines = new LineCounter();
+  const docs = parseAllDocuments(file.text, { lineCounter: lines, prettyErrors: false });
+  if (!Array.isArray(docs)) return;
+  docs.forEach((doc) => readDocument({ file: file.file, doc, lines }, loaded));
+}
+
+function readDocument(source: Source, loaded: Loaded): void {
+  const { doc, lines, file } = source;
+  if (doc.errors.length > 0) {
+    doc.errors.forEach((error) => {
+      const { line } = lines.linePos(error.pos[0]);
+      loaded.problems.push({ file, line, path: '', message: error.message });
+    });
+    return;
+  }
+  const shape = DocumentShape.safeParse(doc.toJS());
+  if (!shape.success) {
+    shape.error.issues.forEach((issue) => {
+      const path = issue.path.filter((part) => typeof part !== 'symbol');
+      loaded.problems.push(locateIn(source, path, formatPath(path), issue.message));
+    });
+    return;
+  }
+  SECTIONS.forEach((section) => {
+    (shape.data[section] ?? []).forEach((item, index) => {
+      loaded.merged[section].push(item);
+      loaded.origins[section].push({ source, index });
+    });
+  });
+}
+
+function locate(loaded: Loaded, path: ProblemPath, message: string): FileProblem {
+  const [section, at, ...rest] = path;
+  const origin = loaded.origins[section as Section][at as number];
+  if (origin === undefined) return { file: '', line: 0, path: formatPath(path), message };
+  const here: ProblemPath = [section as Section, origin.index, ...rest];
+  return locateIn(origin.source, here, formatPath(here), message);
+}
+
+function locateIn(source: Source, path: ProblemPath, text: string, message: string): FileProblem {
+  const node = findNode(source.doc, path);
+  const start = isNode(node) ? node.range?.[0] : undefined;
+  const { line } = source.lines.linePos(start ?? source.doc.range[0]);
+  return { file: source.file, line: Math.max(line, 1), path: text, message };
+}
+
+/** Finds the node at a path, or the nearest one above a field that is missing. */
+function findNode(doc: Document.Parsed, path: ProblemPath): unknown {
+  for (let { length } = path; length > 0; length -= 1) {
+    const node = doc.getIn(path.slice(0, length), true);
+    if (node !== undefined) return node;
+  }
+  return doc.contents;
+}
+
+function emptySections<T>(): Record<Section, T[]> {
+  return { teams: [], keys: [], services: [], trainers: [] };
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
