--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,3 +10,31 @@
   StreamBounds,
   StreamName,
 } from './log';
+
+export { Backoff } from './backoff';
+export type { BackoffOptions } from './backoff';
+
+export { HttpLog } from './http-log';
+export type { HttpLogOptions } from './http-log';
+export type { HttpClientOptions } from './http-client';
+
+export { MemoryLog } from './memory-log';
+export type { AppendEvent, LogFaults, MemoryLogOptions } from './memory-log';
+
+export { LogTail } from './log-tail';
+export type { LogTailOptions, TrimGap } from './log-tail';
+
+export { appendOnce } from './append-once';
+export type { AppendOnceOptions } from './append-once';
+
+export { TargetOrders } from './target-orders';
+export type { GuardOptions, OrderReceipt, TargetOrder, ZoneTargets } from './target-orders';
+
+export { UsageReports } from './usage-reports';
+export type { ReportedWindow, UsageFigure, UsageReport } from './usage-reports';
+
+export { InstanceList } from './instance-list';
+export type { ListedInstance, WatchOptions } from './instance-list';
+
+export { WeightStore } from './weight-store';
+export type { FetchOptions } from './weight-store';
