--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -32,4 +32,7 @@
 export { checkKey, checkKeyId, createKey, hashSecret } from './keys';
 export type { CreatedKey, KeyHolder } from './keys';
 
+export { ConfigSync } from './sync';
+export type { ConfigFrame, ConfigPeer } from './sync';
+
 export { ConfigView } from './view';
