--- a/packages/config/src/loading.ts
+++ b/packages/config/src/loading.ts
@@ -2,7 +2,7 @@
 import { readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
 
-import { type Result, type ResultAsync, err, fromPromise, ok } from 'neverthrow';
+import { type Result, type ResultAsync, err, fromPromise } from 'neverthrow';
 import { type Document, LineCounter, isNode, parseAllDocuments } from 'yaml';
 import { z } from 'zod';
 
