--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -43,6 +43,8 @@
 const HAND_OVER_ITEMS = 500;
 const INITIAL_WEIGHT = 1;
 
+const EMPTY_END = { count: 0, digest: '', tokens: 0, segments: [], detail: '' };
+
 /** What an agent is made of. */
 export interface AgentOptions {
   readonly clock: Clock;
@@ -246,7 +248,7 @@
       this.#refuse(attempt, 'deadline_unreachable', waitMs - attempt.run.deadlineMs);
       return;
     }
-    attempt.state = 'queued';
+    attempt.queue();
     const pushed = this.#work.push(attempt);
     if (pushed.isErr()) this.#refuse(attempt, 'queue_full', Math.max(waitMs, RETRY_SOON_MS));
   }
@@ -287,8 +289,7 @@
       this.#sendNotRun(session, id, 'attempt_revoked');
     } else if (!attempt.attach(session, attach.fromSeq, attach.creditBytes)) {
       const { code } = RESULT_CODES.answer_broken;
-      const value = { attempt: id, count: 0, digest: '', tokens: 0, segments: [], code, detail: '' };
-      session.send({ $case: 'end', value });
+      session.send({ $case: 'end', value: { ...EMPTY_END, attempt: id, code } });
     }
   }
 
@@ -368,7 +369,11 @@
 
   #refuse(attempt: Attempt, name: CodeName, retryAfterMs: Millis = 0, detail = ''): void {
     this.#options.metrics.countRefusal(name);
-    attempt.refuse({ code: RESULT_CODES[name].code, retryAfterMs: Math.ceil(retryAfterMs), detail });
+    attempt.refuse({
+      code: RESULT_CODES[name].code,
+      retryAfterMs: Math.ceil(retryAfterMs),
+      detail,
+    });
     this.#ledger.settle(attempt);
   }
 
--- a/packages/agent/src/attempt.ts
+++ b/packages/agent/src/attempt.ts
@@ -25,13 +25,12 @@
 
   readonly deadline: MonoTime;
 
-  state: AttemptState = 'receiving';
+  #state: AttemptState = 'receiving';
 
   /** The incarnation of the entry that sent the attempt or attached to it last. */
   entry: string;
 
-  /** Set when the attempt is settled: acknowledged, or given up by its entry. */
-  settledAt: MonoTime | undefined;
+  #settledAt: MonoTime | undefined;
 
   readonly #cancelling = new AbortController();
 
@@ -74,6 +73,16 @@
     this.#body = run.body.length > 0 ? [run.body] : [];
   }
 
+  /** Where the attempt stands. */
+  get state(): AttemptState {
+    return this.#state;
+  }
+
+  /** When the attempt was settled: acknowledged, or given up by its entry. */
+  get settledAt(): MonoTime | undefined {
+    return this.#settledAt;
+  }
+
   /** The entry that the answer goes to. */
   get session(): LinkSession | undefined {
     return this.#session;
@@ -96,7 +105,7 @@
 
   /** Whether the attempt has come to an end. */
   get isDone(): boolean {
-    return this.state === 'finished' || this.state === 'refused';
+    return this.#state === 'finished' || this.#state === 'refused';
   }
 
   /** Whether the answer has come to a good end. */
@@ -109,6 +118,21 @@
     return this.#end?.tokens ?? 0;
   }
 
+  /** Notes that the attempt waits for its turn. */
+  queue(): void {
+    this.#state = 'queued';
+  }
+
+  /** Notes that the attempt runs. */
+  start(): void {
+    this.#state = 'running';
+  }
+
+  /** Notes that the entry needs nothing more of the attempt. */
+  settle(now: MonoTime): void {
+    this.#settledAt = now;
+  }
+
   /** Adds to the request's body. */
   addBody(data: Buffer): void {
     this.#body.push(data);
@@ -127,7 +151,7 @@
 
   /** Answers that the attempt did not run and never will. */
   refuse(notRun: Omit<NotRun, 'attempt'>): void {
-    this.state = 'refused';
+    this.#state = 'refused';
     this.#refusal = { attempt: this.id, ...notRun };
     this.dropBody();
     this.#session?.send({ $case: 'notRun', value: this.#refusal });
@@ -158,7 +182,7 @@
    * @param end - its digest, label and result code
    */
   finish(end: Omit<EndFields, 'count'>): void {
-    this.state = 'finished';
+    this.#state = 'finished';
     this.dropBody();
     this.#end = { ...end, count: this.#nextSeq };
     this.#session?.send({ $case: 'end', value: { attempt: this.id, ...this.#end } });
@@ -172,7 +196,7 @@
    */
   addFollower(follower: Attempt): void {
     this.#followers.push(follower);
-    follower.state = 'running';
+    follower.start();
     if (this.#refusal) follower.refuse(this.#refusal);
     if (this.#head) follower.addHead(this.#head.status, this.#head.headers);
     this.#chunks.forEach((chunk) => follower.addChunk(chunk.data));
--- /dev/null
+++ b/packages/agent/src/engine-client.ts
@@ -0,0 +1,110 @@
+/** The weights interface of the engine beside the agent, over HTTP. */
+import {
+  type Failure,
+  type Millis,
+  type TrainerId,
+  type WeightVersion,
+  createFailure,
+} from '@hibiscushill/base';
+import {
+  EngineWeights,
+  type LoadOrder,
+  WeightSource,
+  type WeightState,
+} from '@hibiscushill/rollout';
+import type { WeightStore } from '@hibiscushill/platform';
+import { ResultAsync, err, ok } from 'neverthrow';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+
+const LOAD_TIMEOUT_MS: Millis = 15_000;
+const STATE_TIMEOUT_MS: Millis = 2_000;
+const HTTP_OK = 200;
+const HTTP_CONFLICT = 409;
+
+const EngineState = z.object({
+  version: z.number().int() as unknown as z.ZodType<WeightVersion>,
+  highestFencing: z.number().int().default(-1),
+  loading: z.boolean().default(false),
+});
+
+interface EngineAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** An engine that is reached by its base URL. */
+export class HttpEngineWeights extends EngineWeights {
+  readonly #url: string;
+
+  // Each call has a connection of its own, so that one which went silent is never used again.
+  readonly #dispatcher = new Agent({ pipelining: 0 });
+
+  /** @param url - the engine's base URL */
+  constructor(url: string) {
+    super();
+    this.#url = url.replace(/\/$/, '');
+  }
+
+  override load(order: LoadOrder): ResultAsync<void, Failure> {
+    return this.#call('POST', '/weights', LOAD_TIMEOUT_MS, order).andThen((answer) => {
+      if (answer.status === HTTP_OK) return ok(undefined);
+      const detail = `status ${answer.status}`;
+      return err(
+        createFailure(answer.status === HTTP_CONFLICT ? 'fencing_stale' : 'swap_failed', {
+          detail,
+        }),
+      );
+    });
+  }
+
+  override state(trainer: TrainerId): ResultAsync<WeightState, Failure> {
+    const path = `/weights?trainer=${encodeURIComponent(trainer)}`;
+    return this.#call('GET', path, STATE_TIMEOUT_MS).andThen((answer) => {
+      const state = EngineState.safeParse(answer.body);
+      return state.success ? ok(state.data) : err(createFailure('target_down'));
+    });
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.#dispatcher.destroy();
+  }
+
+  #call(
+    method: 'GET' | 'POST',
+    path: string,
+    timeoutMs: Millis,
+    body?: object,
+  ): ResultAsync<EngineAnswer, Failure> {
+    const answer = request(`${this.#url}${path}`, {
+      method,
+      dispatcher: this.#dispatcher,
+      signal: AbortSignal.timeout(timeoutMs),
+      ...(body && {
+        body: JSON.stringify(body),
+        headers: { 'content-type': 'application/json' },
+      }),
+    }).then(async (res) => ({ status: res.statusCode, body: await res.body.json() }));
+    return ResultAsync.fromPromise(answer, (reason) =>
+      createFailure('outcome_unknown', { detail: String(reason), run: 'may-have-run' }),
+    );
+  }
+}
+
+/** Weights from the platform's store; the engine reads them from the store's address. */
+export class StoreWeightSource extends WeightSource {
+  readonly #store: WeightStore;
+
+  /** @param store - the store's client */
+  constructor(store: WeightStore) {
+    super();
+    this.#store = store;
+  }
+
+  override fetch(trainer: TrainerId, version: WeightVersion): ResultAsync<string, Failure> {
+    return this.#store
+      .fetch(trainer, version)
+      .map(() => `/v1/weights/${encodeURIComponent(trainer)}/${version}`);
+  }
+}
--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -18,8 +18,6 @@
 export interface ExecutorOptions {
   readonly clock: Clock;
   readonly target: TargetClient;
-  /** Whether the target answers with tokens that are labelled and counted. */
-  readonly isModel: boolean;
 }
 
 interface Outcome {
@@ -51,14 +49,11 @@
 
   readonly #target: TargetClient;
 
-  readonly #isModel: boolean;
-
   readonly #hash: XXHashAPI;
 
   private constructor(options: ExecutorOptions, hash: XXHashAPI) {
     this.#clock = options.clock;
     this.#target = options.target;
-    this.#isModel = options.isModel;
     this.#hash = hash;
   }
 
@@ -118,7 +113,7 @@
   async #receive(attempt: Attempt, answer: Dispatcher.ResponseData): Promise<Outcome> {
     attempt.addHead(answer.statusCode, toHeaders(answer.headers));
     const hash = this.#hash.create64();
-    const collector = this.#isModel ? new SegmentCollector() : undefined;
+    const collector = attempt.run.model ? new SegmentCollector() : undefined;
     try {
       for await (const chunk of answer.body as AsyncIterable<Buffer>) {
         await attempt.waitForRoom();
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -110,7 +110,7 @@
 
   /** Marks an attempt as settled. Its answer is freed, unless an idempotency key keeps it. */
   settle(attempt: Attempt): void {
-    attempt.settledAt = this.#clock.mono();
+    attempt.settle(this.#clock.mono());
     if (attempt.run.idempotencyKey === '') attempt.dropAnswer();
   }
 
--- a/packages/agent/src/target-client.ts
+++ b/packages/agent/src/target-client.ts
@@ -25,7 +25,12 @@
 const KEEP_ALIVE_MS = 2000;
 
 // Failures that come before a byte of the request was written.
-const NOT_SENT = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
 
 /** The target's HTTP client. It repeats nothing by itself. */
 export class TargetClient {
--- a/packages/agent/src/work-queue.ts
+++ b/packages/agent/src/work-queue.ts
@@ -2,7 +2,7 @@
 import type { Clock, Failure, Millis, TeamId } from '@hibiscushill/base';
 import type { QueueItem, QueuePolicy } from '@hibiscushill/routing';
 import { isNone } from 'fp-ts/Option';
-import type { Result } from 'neverthrow';
+import { type Result, err, ok } from 'neverthrow';
 
 import type { Attempt } from './attempt';
 
@@ -73,10 +73,11 @@
    * @returns nothing, or `queue_full`
    */
   push(attempt: Attempt): Result<void, Failure> {
-    return this.#options.policy.push(this.#createItem(attempt)).map((dropped) => {
-      dropped.forEach((item) => this.#options.onDropped(item.value, 'queue_full'));
-      this.pump();
-    });
+    const pushed = this.#options.policy.push(this.#createItem(attempt));
+    if (pushed.isErr()) return err(pushed.error);
+    pushed.value.forEach((item) => this.#options.onDropped(item.value, 'queue_full'));
+    this.pump();
+    return ok(undefined);
   }
 
   /**
@@ -106,7 +107,7 @@
     const attempt = item.value;
     const startedAt = this.#options.clock.mono();
     this.#running.add(attempt);
-    attempt.state = 'running';
+    attempt.start();
     await this.#options.execute(attempt);
     this.#running.delete(attempt);
     this.#served += 1;
--- a/packages/config/src/sync.ts
+++ b/packages/config/src/sync.ts
@@ -11,8 +11,7 @@
 
 /** The frames of the spread. Both directions of a link carry them. */
 export type ConfigFrame =
-  | { $case: 'config'; value: ConfigOffer }
-  | { $case: 'configPull'; value: { have: number } };
+  { $case: 'config'; value: ConfigOffer } | { $case: 'configPull'; value: { have: number } };
 
 /** A connection that the frames go out on. */
 export interface ConfigPeer {
--- /dev/null
+++ b/packages/entry/src/dispatcher.ts
@@ -0,0 +1,350 @@
+/** Brings a request to a target, and to another one where that is safe. */
+import {
+  type Clock,
+  type CodeName,
+  type Failure,
+  type KeyId,
+  type Metrics,
+  type Millis,
+  type MonoTime,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type TeamId,
+  type TrainerId,
+  type ZoneId,
+  type AttemptId,
+  createFailure,
+  createId,
+} from '@hibiscushill/base';
+import type { Header } from '@hibiscushill/protocol';
+import type { HedgePolicy, RetryBudget, RetryPolicy, TargetPolicy } from '@hibiscushill/routing';
+import { isNone, isSome } from 'fp-ts/Option';
+import { type Result, err, ok } from 'neverthrow';
+
+import type { AgentPool } from './agent-pool';
+import type { OutgoingAttempt } from './outgoing-attempt';
+
+/** A request that was admitted. */
+export interface DispatchRequest {
+  readonly request: RequestId;
+  readonly service: ServiceId;
+  readonly team: TeamId | '';
+  readonly key: KeyId | '';
+  readonly isPublic: boolean;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: Buffer;
+  readonly isIdempotent: boolean;
+  readonly isModel: boolean;
+  readonly isBillable: boolean;
+  readonly retain: boolean;
+  readonly idempotencyKey: string;
+  readonly affinityKey?: string;
+  readonly deadline: MonoTime;
+  readonly costTokens: number;
+  readonly priority: number;
+  readonly trainer?: TrainerId;
+  readonly exclude?: ReadonlySet<TargetId>;
+  readonly signal: AbortSignal;
+  readonly onTarget?: (target: TargetId) => void;
+}
+
+/** An answer whose head has arrived; its body follows as events of the attempt. */
+export interface OpenAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly attempt: OutgoingAttempt;
+}
+
+/** What a dispatcher decides with. */
+export interface DispatcherOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly pool: AgentPool;
+  readonly zone: ZoneId;
+  readonly targetPolicy: TargetPolicy;
+  readonly retryPolicy: RetryPolicy;
+  readonly retryBudget: RetryBudget;
+  readonly hedgePolicy: HedgePolicy;
+  readonly configVersion: () => number;
+}
+
+const NO_TARGET_RETRY_MS: Millis = 500;
+
+type Waited = 'event' | 'hedge-due' | 'ended';
+
+/** One request's state over all its attempts. */
+class Dispatch {
+  readonly req: DispatchRequest;
+
+  readonly tried: Set<TargetId>;
+
+  readonly open: OutgoingAttempt[] = [];
+
+  attempts = 0;
+
+  mayHaveRun = false;
+
+  hasRevoked = false;
+
+  constructor(req: DispatchRequest) {
+    this.req = req;
+    this.tried = new Set(req.exclude ?? []);
+  }
+}
+
+/** Sends requests to targets. */
+export class RequestDispatcher {
+  readonly #options: DispatcherOptions;
+
+  /** @param options - the pool and the policies */
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Runs a request until the head of an answer arrives.
+   *
+   * @param req - the request
+   * @returns the answer, or the failure to tell the caller, with a true `run`
+   */
+  async dispatch(req: DispatchRequest): Promise<Result<OpenAnswer, Failure>> {
+    const state = new Dispatch(req);
+    this.#options.retryBudget.recordFirstTry(req.service);
+    for (;;) {
+      const started = this.#start(state);
+      if (started.isErr()) return err(this.#describe(state, started.error));
+      const outcome = await this.#awaitHead(state);
+      if (outcome.isOk()) return outcome;
+      const failure = this.#decide(state, outcome.error);
+      if (failure !== undefined) return err(failure);
+    }
+  }
+
+  #start(state: Dispatch): Result<OutgoingAttempt, Failure> {
+    const { req } = state;
+    for (;;) {
+      const target = this.#choose(state);
+      if (target === undefined) return err(this.#createNoTarget(state));
+      state.tried.add(target);
+      const attempt = this.#open(state, target);
+      if (attempt !== undefined) {
+        state.attempts += 1;
+        state.open.push(attempt);
+        this.#options.pool.ejector(req.service).recordSent(target);
+        req.onTarget?.(target);
+        return ok(attempt);
+      }
+    }
+  }
+
+  #choose({ req, tried }: Dispatch): TargetId | undefined {
+    const targets = this.#options.pool.targets(req.service);
+    const affinityKey = req.idempotencyKey === '' ? req.affinityKey : undefined;
+    const chosen = this.#options.targetPolicy.choose(
+      {
+        service: req.service,
+        zone: this.#options.zone,
+        costTokens: req.costTokens,
+        exclude: tried,
+        ...(affinityKey !== undefined && { affinityKey }),
+      },
+      targets,
+    );
+    return isSome(chosen) ? chosen.value.id : undefined;
+  }
+
+  #open({ req }: Dispatch, target: TargetId): OutgoingAttempt | undefined {
+    const run = {
+      attempt: createId<AttemptId>(),
+      request: req.request,
+      service: req.service,
+      team: req.team,
+      key: req.key,
+      configVersion: this.#options.configVersion(),
+      method: req.method,
+      path: req.path,
+      headers: [...req.headers],
+      hasBody: req.body.length > 0,
+      idempotent: req.isIdempotent,
+      deadlineMs: Math.ceil(req.deadline - this.#options.clock.mono()),
+      priority: req.priority,
+      costTokens: Math.ceil(req.costTokens),
+      idempotencyKey: req.idempotencyKey,
+      creditBytes: 0,
+      publicRoute: req.isPublic,
+      bodyComplete: true,
+      trainer: req.trainer ?? '',
+      retain: req.retain || req.idempotencyKey !== '',
+      billable: req.isBillable,
+      model: req.isModel,
+    };
+    return this.#options.pool.find(req.service, target)?.open(run, req.body);
+  }
+
+  async #awaitHead(state: Dispatch): Promise<Result<OpenAnswer, Failure>> {
+    const { req } = state;
+    const startedAt = this.#options.clock.mono();
+    let hedgeDelay = this.#hedgeDelay(state);
+    for (;;) {
+      const waited = await this.#wait(state, hedgeDelay);
+      if (waited === 'ended') return err(this.#end(state));
+      if (waited === 'hedge-due') {
+        hedgeDelay = undefined;
+        this.#hedge(state);
+        continue;
+      }
+      const outcome = await this.#takeEvent(state);
+      if (outcome?.isOk()) {
+        this.#options.hedgePolicy.recordLatency(
+          req.service,
+          this.#options.clock.mono() - startedAt,
+        );
+      }
+      if (outcome !== undefined) return outcome;
+    }
+  }
+
+  #hedgeDelay({ req }: Dispatch): Millis | undefined {
+    const delay = this.#options.hedgePolicy.delayFor({
+      service: req.service,
+      idempotent: req.isIdempotent,
+      remainingMs: req.deadline - this.#options.clock.mono(),
+    });
+    return isNone(delay) ? undefined : delay.value;
+  }
+
+  #hedge(state: Dispatch): void {
+    if (!this.#options.hedgePolicy.tryStart(state.req.service)) return;
+    if (this.#start(state).isOk()) this.#options.metrics.count('hedged');
+  }
+
+  async #wait(state: Dispatch, hedgeDelay: Millis | undefined): Promise<Waited> {
+    const { req, open } = state;
+    if (req.signal.aborted) return 'ended';
+    if (open.some((attempt) => attempt.hasEvent)) return 'event';
+    const remainingMs = Math.max(0, req.deadline - this.#options.clock.mono());
+    const isHedge = hedgeDelay !== undefined && hedgeDelay < remainingMs;
+    const timeoutMs = isHedge ? hedgeDelay : remainingMs;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => done(isHedge ? 'hedge-due' : 'ended'), timeoutMs);
+      const onAbort = (): void => done('ended');
+      function done(result: Waited): void {
+        clearTimeout(timer);
+        req.signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      }
+      req.signal.addEventListener('abort', onAbort);
+      open.forEach((attempt) => {
+        void attempt.ready().then(() => done('event'));
+      });
+    });
+  }
+
+  /** Takes one event; undefined when the request goes on waiting. */
+  async #takeEvent(state: Dispatch): Promise<Result<OpenAnswer, Failure> | undefined> {
+    const attempt = state.open.find((open) => open.hasEvent);
+    if (attempt === undefined) return undefined;
+    const event = await attempt.next();
+    switch (event.kind) {
+      case 'head':
+        this.#cancelOthers(state, attempt);
+        this.#record(state, attempt, 'answered');
+        return ok({ status: event.status, headers: event.headers, attempt });
+      case 'failed':
+        return this.#takeFailure(state, attempt, event.failure);
+      case 'down':
+        return state.req.isIdempotent ? this.#leave(state, attempt) : undefined;
+      default:
+        return undefined;
+    }
+  }
+
+  #takeFailure(
+    state: Dispatch,
+    attempt: OutgoingAttempt,
+    failure: Failure,
+  ): Result<OpenAnswer, Failure> | undefined {
+    remove(state.open, attempt);
+    attempt.acknowledge(false);
+    if (failure.run === 'may-have-run') Object.assign(state, { mayHaveRun: true });
+    if (isTargetFault(failure.code)) this.#record(state, attempt, 'failed');
+    return state.open.length > 0 ? undefined : err(failure);
+  }
+
+  // Idempotent work doesn't wait for a broken link to come back.
+  #leave(state: Dispatch, attempt: OutgoingAttempt): Result<OpenAnswer, Failure> | undefined {
+    attempt.cancel();
+    remove(state.open, attempt);
+    Object.assign(state, { mayHaveRun: true });
+    if (state.open.length > 0) return undefined;
+    return err(createFailure('outcome_unknown', { detail: 'link broken', run: 'may-have-run' }));
+  }
+
+  /** The failure to answer with, or undefined for another attempt. */
+  #decide(state: Dispatch, outcome: Failure): Failure | undefined {
+    const { req } = state;
+    if (state.attempts === 0 || req.signal.aborted) return this.#describe(state, outcome);
+    const decision = this.#options.retryPolicy.decide(outcome, {
+      service: req.service,
+      idempotent: req.isIdempotent,
+      attempts: state.attempts,
+      remainingMs: req.deadline - this.#options.clock.mono(),
+      firstByteSent: false,
+      // An attempt that the agent could still revoke has not failed yet.
+      revokeTried: true,
+      earlierMayHaveRun: state.mayHaveRun,
+    });
+    if (decision.action === 'give-up') return decision.failure;
+    this.#options.metrics.countRetry(outcome.code);
+    return undefined;
+  }
+
+  #end(state: Dispatch): Failure {
+    const isCancelled = state.req.signal.aborted;
+    this.#cancelOthers(state, undefined);
+    const run = state.attempts > 0 ? 'may-have-run' : 'not-run';
+    return createFailure(isCancelled ? 'cancelled' : 'deadline_exceeded', { run });
+  }
+
+  #describe(state: Dispatch, failure: Failure): Failure {
+    return state.mayHaveRun ? { ...failure, run: 'may-have-run' } : failure;
+  }
+
+  #cancelOthers(state: Dispatch, kept: OutgoingAttempt | undefined): void {
+    state.open.filter((attempt) => attempt !== kept).forEach((attempt) => attempt.cancel());
+    state.open.splice(0);
+  }
+
+  #record(
+    { req }: Dispatch,
+    attempt: OutgoingAttempt,
+    outcome: 'answered' | 'failed' | 'silent',
+  ): void {
+    this.#options.pool.ejector(req.service).recordOutcome(attempt.target, outcome);
+  }
+
+  #createNoTarget(state: Dispatch): Failure {
+    return createFailure('no_target', {
+      detail: `${state.attempts} tried`,
+      retryAfterMs: NO_TARGET_RETRY_MS,
+    });
+  }
+}
+
+const TARGET_FAULTS: ReadonlySet<CodeName> = new Set<CodeName>([
+  'target_down',
+  'outcome_unknown',
+  'answer_broken',
+]);
+
+function isTargetFault(code: CodeName): boolean {
+  return TARGET_FAULTS.has(code);
+}
+
+function remove(open: OutgoingAttempt[], attempt: OutgoingAttempt): void {
+  const index = open.indexOf(attempt);
+  if (index >= 0) open.splice(index, 1);
+}
