--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -91,8 +91,17 @@
   override sleep(ms: Millis, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise((resolve) => {
-      this.#sleepers.push({ due: this.#now + ms, wake: resolve });
-      signal?.addEventListener('abort', () => resolve(), { once: true });
+      const wake = (): void => {
+        signal?.removeEventListener('abort', abandon);
+        resolve();
+      };
+      const sleeper = { due: this.#now + ms, wake };
+      const abandon = (): void => {
+        this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
+        wake();
+      };
+      this.#sleepers.push(sleeper);
+      signal?.addEventListener('abort', abandon);
     });
   }
 
