--- a/packages/agent/src/target-client.ts
+++ b/packages/agent/src/target-client.ts
@@ -66,7 +66,7 @@
   send(req: TargetRequest): ResultAsync<Dispatcher.ResponseData, Failure> {
     const pool = req.idempotent ? this.#shared : this.#fresh;
     const answer = pool.request({
-      method: req.method as Dispatcher.HttpMethod,
+      method: req.method,
       path: req.path,
       headers: req.headers.flatMap((header) => [header.name, header.value]),
       body: req.body ?? null,
--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -105,6 +105,11 @@
     return this.#isUp;
   }
 
+  /** The target; undefined before the first contact. */
+  get target(): TargetId | undefined {
+    return this.#hello?.target as TargetId | undefined;
+  }
+
   /** The service that the target belongs to. */
   get service(): ServiceId | undefined {
     return this.#hello?.service as ServiceId | undefined;
@@ -315,4 +320,3 @@
     lost.forEach((attempt) => attempt.takeLost(detail));
   }
 }
-
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -87,12 +87,22 @@
 
   mayHaveRun = false;
 
-  hasRevoked = false;
+  lastFailure: Failure | undefined;
 
   constructor(req: DispatchRequest) {
     this.req = req;
     this.tried = new Set(req.exclude ?? []);
   }
+
+  add(attempt: OutgoingAttempt): void {
+    this.attempts += 1;
+    this.open.push(attempt);
+  }
+
+  noteFailure(failure: Failure): void {
+    this.lastFailure = failure;
+    if (failure.run === 'may-have-run') this.mayHaveRun = true;
+  }
 }
 
 /** Sends requests to targets. */
@@ -131,8 +141,7 @@
       state.tried.add(target);
       const attempt = this.#open(state, target);
       if (attempt !== undefined) {
-        state.attempts += 1;
-        state.open.push(attempt);
+        state.add(attempt);
         this.#options.pool.ejector(req.service).recordSent(target);
         req.onTarget?.(target);
         return ok(attempt);
@@ -269,7 +278,7 @@
   ): Result<OpenAnswer, Failure> | undefined {
     remove(state.open, attempt);
     attempt.acknowledge(false);
-    if (failure.run === 'may-have-run') Object.assign(state, { mayHaveRun: true });
+    state.noteFailure(failure);
     if (isTargetFault(failure.code)) this.#record(state, attempt, 'failed');
     return state.open.length > 0 ? undefined : err(failure);
   }
@@ -278,9 +287,9 @@
   #leave(state: Dispatch, attempt: OutgoingAttempt): Result<OpenAnswer, Failure> | undefined {
     attempt.cancel();
     remove(state.open, attempt);
-    Object.assign(state, { mayHaveRun: true });
-    if (state.open.length > 0) return undefined;
-    return err(createFailure('outcome_unknown', { detail: 'link broken', run: 'may-have-run' }));
+    const failure = createFailure('outcome_unknown', { detail: 'link broken', run: 'may-have-run' });
+    state.noteFailure(failure);
+    return state.open.length > 0 ? undefined : err(failure);
   }
 
   /** The failure to answer with, or undefined for another attempt. */
@@ -327,6 +336,7 @@
   }
 
   #createNoTarget(state: Dispatch): Failure {
+    if (state.lastFailure !== undefined) return state.lastFailure;
     return createFailure('no_target', {
       detail: `${state.attempts} tried`,
       retryAfterMs: NO_TARGET_RETRY_MS,
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,261 @@
+/** An entry: its parts, started and stopped together. */
+import {
+  type Clock,
+  type IncarnationId,
+  Metrics,
+  type RandomSource,
+  SystemClock,
+  createId,
+  createLogger,
+  createRandomSource,
+} from '@hibiscushill/base';
+import { ConfigFollower, ConfigStore, ConfigSync } from '@hibiscushill/config';
+import { HttpLog, InstanceList } from '@hibiscushill/platform';
+import { PeerServer } from '@hibiscushill/protocol';
+import { Ejector, WaitEstimator } from '@hibiscushill/routing';
+import type { FastifyInstance } from 'fastify';
+import xxhash, { type XXHashAPI } from 'xxhash-wasm';
+
+import { AgentPeer } from './agent-peer';
+import { AgentPool } from './agent-pool';
+import { RequestDispatcher } from './dispatcher';
+import { OpenRequests } from './open-requests';
+import { PeerExchange } from './peer-exchange';
+import { type Policies, createPolicies } from './policies';
+import { createServer } from './server';
+import { registerServiceRoutes } from './service-routes';
+import type { EntrySettings } from './settings';
+import { registerStatusRoutes } from './status';
+
+const log = createLogger('entry');
+
+const DRAIN_POLL_MS = 20;
+const LINGER_MS = 300;
+
+/** Where an entry is reached. */
+export interface EntryAddresses {
+  readonly listening: string;
+  readonly inner: string;
+}
+
+/** One entry process. */
+export class Entry {
+  readonly #cfg: EntrySettings;
+
+  readonly #clock: Clock = new SystemClock();
+
+  readonly #random: RandomSource = createRandomSource();
+
+  readonly #incarnation = createId<IncarnationId>();
+
+  readonly #metrics: Metrics;
+
+  readonly #config: ConfigStore;
+
+  readonly #sync: ConfigSync;
+
+  readonly #follower: ConfigFollower;
+
+  readonly #open: OpenRequests;
+
+  readonly #pool: AgentPool;
+
+  readonly #policies: Policies;
+
+  readonly #dispatcher: RequestDispatcher;
+
+  readonly #exchange: PeerExchange;
+
+  readonly #peerServer: PeerServer;
+
+  readonly #waits = new WaitEstimator();
+
+  readonly #app: FastifyInstance;
+
+  readonly #stopping = new AbortController();
+
+  #isStopping = false;
+
+  #addresses: EntryAddresses = { listening: '', inner: '' };
+
+  private constructor(cfg: EntrySettings, hash: XXHashAPI) {
+    this.#cfg = cfg;
+    const clock = this.#clock;
+    this.#metrics = new Metrics({
+      prefix: 'hibiscus.entry',
+      ...(cfg.statsdPort > 0 && { port: cfg.statsdPort }),
+    });
+    this.#config = new ConfigStore({ clock, metrics: this.#metrics });
+    this.#sync = new ConfigSync(this.#config);
+    this.#follower = new ConfigFollower({
+      clock,
+      log: new HttpLog({ url: cfg.logUrl }),
+      store: this.#config,
+      metrics: this.#metrics,
+    });
+    this.#open = new OpenRequests(this.#config);
+    this.#policies = createPolicies(cfg, clock, this.#random);
+    this.#exchange = new PeerExchange({
+      clock,
+      entry: cfg.instance,
+      incarnation: this.#incarnation,
+      config: this.#config,
+      shares: this.#policies.shares,
+      addresses: cfg.peers,
+    });
+    this.#peerServer = new PeerServer((message) => this.#exchange.answer(message));
+    this.#pool = this.#createPool(hash);
+    this.#dispatcher = this.#createDispatcher();
+    this.#app = this.#createApp();
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param cfg - its settings
+   * @returns the entry, which listens
+   */
+  static async start(cfg: EntrySettings): Promise<Entry> {
+    const entry = new Entry(cfg, await xxhash());
+    await entry.#start();
+    return entry;
+  }
+
+  /** Where the entry is reached. */
+  get addresses(): EntryAddresses {
+    return this.#addresses;
+  }
+
+  /** Finishes what is open, takes nothing new, and closes everything. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    log.info('Shutting down.');
+    this.#isStopping = true;
+    const deadline = this.#clock.mono() + this.#cfg.drainMs;
+    // Callers that write on a kept connection just now still get an answer, with `close`.
+    await this.#clock.sleep(LINGER_MS);
+    const closed = this.#app.close();
+    while (this.#open.size > 0 && this.#clock.mono() < deadline) {
+      await this.#clock.sleep(DRAIN_POLL_MS);
+    }
+    this.#stopping.abort();
+    await this.#follower.stop();
+    this.#pool.close();
+    this.#peerServer.close();
+    await closed;
+    this.#metrics.close();
+    log.info('Stopped.');
+  }
+
+  async #start(): Promise<void> {
+    const { listen, innerListen } = this.#cfg;
+    const innerPort = await this.#peerServer.listen(innerListen);
+    const inner = `${hostOf(innerListen)}:${innerPort}`;
+    this.#exchange.setOwnAddress(inner);
+    this.#follower.start();
+    void this.#pool.run(this.#stopping.signal);
+    void this.#exchange.run(this.#stopping.signal);
+    const url = await this.#app.listen({ host: hostOf(listen), port: portOf(listen) });
+    this.#addresses = { listening: new URL(url).host, inner };
+    log.info('Ready for callers.', { listening: this.#addresses.listening, inner });
+  }
+
+  #createPool(hash: XXHashAPI): AgentPool {
+    const { instance, instancesUrl, subsetSize } = this.#cfg;
+    this.#config.onChange(() => this.#pushConfig());
+    return new AgentPool({
+      clock: this.#clock,
+      entry: instance,
+      list: new InstanceList({ url: instancesUrl }),
+      subsetSize,
+      createPeer: (address) => this.#createPeer(address, hash),
+      createEjector: () => new Ejector({ clock: this.#clock }),
+      onEntries: (entries) => this.#exchange.setEntries(entries),
+    });
+  }
+
+  #createPeer(address: string, hash: XXHashAPI): AgentPeer {
+    return new AgentPeer({
+      address,
+      hash,
+      clock: this.#clock,
+      random: this.#random,
+      sync: this.#sync,
+      hello: () => ({
+        entry: this.#cfg.instance,
+        incarnation: this.#incarnation,
+        configVersion: this.#config.version,
+      }),
+      onUsage: () => undefined,
+      onWeightReport: () => undefined,
+      onLoad: (peer) => this.#noteLoad(peer),
+      onSilent: (peer) => this.#noteSilence(peer),
+    });
+  }
+
+  #createDispatcher(): RequestDispatcher {
+    return new RequestDispatcher({
+      clock: this.#clock,
+      metrics: this.#metrics,
+      pool: this.#pool,
+      zone: this.#cfg.zone,
+      targetPolicy: this.#policies.target,
+      retryPolicy: this.#policies.retry,
+      retryBudget: this.#policies.budget,
+      hedgePolicy: this.#policies.hedge,
+      configVersion: () => this.#config.version,
+    });
+  }
+
+  #createApp(): FastifyInstance {
+    const app = createServer(this.#cfg);
+    const isStopping = (): boolean => this.#isStopping;
+    registerServiceRoutes(app, {
+      clock: this.#clock,
+      metrics: this.#metrics,
+      config: this.#config,
+      configAgeMs: this.#cfg.configAgeMs,
+      bodyBytes: this.#cfg.bodyBytes,
+      admission: this.#policies.admission,
+      dispatcher: this.#dispatcher,
+      open: this.#open,
+      estimateWait: (service) => this.#waits.estimate(this.#pool.targets(service)),
+      isStopping,
+      onServed: () => undefined,
+    });
+    registerStatusRoutes(app, {
+      cfg: this.#cfg,
+      incarnation: this.#incarnation,
+      config: this.#config,
+      pool: this.#pool,
+      open: this.#open,
+      metrics: this.#metrics,
+      isStopping,
+      duties: () => [],
+    });
+    return app;
+  }
+
+  #pushConfig(): void {
+    this.#pool.peers.forEach((peer) => this.#sync.answer(peer, peer.hello?.configVersion ?? -1));
+  }
+
+  #noteLoad(peer: AgentPeer): void {
+    if (peer.target === undefined) return;
+    const { queued, served } = peer.load;
+    this.#waits.takeReport(peer.target, { queued, served, atMono: this.#clock.mono() });
+  }
+
+  #noteSilence(peer: AgentPeer): void {
+    if (peer.service === undefined || peer.target === undefined) return;
+    this.#pool.ejector(peer.service).recordOutcome(peer.target, 'silent');
+  }
+}
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+function portOf(address: string): number {
+  return Number(address.slice(address.lastIndexOf(':') + 1));
+}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,2 +1,21 @@
-/** The program. */
-export {};
+/** The program `hibiscus-entry`: callers, trainers and operators come here. */
+import { readSettings } from '@hibiscushill/base';
+
+import { Entry } from './entry';
+import { ENTRY_SETTINGS } from './settings';
+
+const EXIT_SETTINGS = 2;
+
+const settings = readSettings('hibiscus-entry', ENTRY_SETTINGS, process.argv, process.env);
+if (settings.isErr()) {
+  settings.error.forEach((problem) =>
+    process.stderr.write(`--${problem.flag} (${problem.env}): ${problem.message}\n`),
+  );
+  process.exitCode = EXIT_SETTINGS;
+} else {
+  const entry = await Entry.start(settings.value);
+  process.stdout.write(`${JSON.stringify(entry.addresses)}\n`);
+  process.on('SIGTERM', () => {
+    void entry.stop().then(() => process.exit(0));
+  });
+}
--- a/packages/entry/src/outgoing-attempt.ts
+++ b/packages/entry/src/outgoing-attempt.ts
@@ -45,7 +45,7 @@
 
   readonly #link: AttemptLink;
 
-  readonly #hash: XXHash;
+  readonly #hash: XXHash<bigint>;
 
   readonly #events: AttemptEvent[] = [];
 
@@ -63,7 +63,7 @@
    * @param link - the link to its agent
    * @param hash - a fresh hash for the answer's digest
    */
-  constructor(run: Run, target: TargetId, link: AttemptLink, hash: XXHash) {
+  constructor(run: Run, target: TargetId, link: AttemptLink, hash: XXHash<bigint>) {
     this.id = run.attempt as AttemptId;
     this.incarnation = run.incarnation as IncarnationId;
     this.run = run;
--- /dev/null
+++ b/packages/entry/src/refusal.ts
@@ -0,0 +1,44 @@
+/** Numbered refusals on the wire. */
+import { type Failure, RESULT_CODES } from '@hibiscushill/base';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+
+const MS_PER_SECOND = 1000;
+
+/** The body of a refusal. */
+export interface RefusalBody {
+  readonly code: number;
+  readonly name: string;
+  readonly run: string;
+  readonly retryAfterMs?: number;
+  readonly detail?: string;
+  readonly requestId: string;
+}
+
+/**
+ * Answers a request with a refusal.
+ *
+ * @param req - the request
+ * @param res - its reply
+ * @param failure - the refusal
+ * @returns the reply
+ */
+export function sendRefusal(
+  req: FastifyRequest,
+  res: FastifyReply,
+  failure: Failure,
+): FastifyReply {
+  const { code, status } = RESULT_CODES[failure.code];
+  const { retryAfterMs } = failure;
+  const body: RefusalBody = {
+    code,
+    name: failure.code,
+    run: failure.run,
+    ...(retryAfterMs !== undefined && { retryAfterMs: Math.ceil(retryAfterMs) }),
+    ...(failure.detail !== '' && { detail: failure.detail }),
+    requestId: req.id,
+  };
+  if (retryAfterMs !== undefined) {
+    void res.header('retry-after', String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
+  }
+  return res.status(status).header('x-request-id', req.id).send(body);
+}
--- /dev/null
+++ b/packages/entry/src/service-routes.ts
@@ -0,0 +1,325 @@
+/** `ANY /s/{service}/...`: callers' requests to services. */
+import {
+  type Clock,
+  type Failure,
+  type KeyId,
+  type Metrics,
+  type Millis,
+  type MonoTime,
+  type RequestId,
+  type ServiceId,
+  type TeamId,
+  createFailure,
+} from '@hibiscushill/base';
+import {
+  type ConfigStore,
+  type ConfigView,
+  type Route,
+  type Service,
+  type Team,
+  checkKey,
+} from '@hibiscushill/config';
+import type { Admission, AdmissionPolicy } from '@hibiscushill/routing';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { isNone, isSome } from 'fp-ts/Option';
+import { type Result, err, ok } from 'neverthrow';
+
+import { isKeyExposed, toTargetHeaders } from './caller-headers';
+import type { DispatchRequest, OpenAnswer, RequestDispatcher } from './dispatcher';
+import type { OpenRequests } from './open-requests';
+import { sendRefusal } from './refusal';
+import { estimateModelRequest } from './request-cost';
+
+const SERVICE_PATH = /^\/s\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+const RETRY_SOON_MS: Millis = 250;
+const PRIORITY_NORMAL = 1;
+const MOST_KEY_LENGTH = 200;
+
+/** What the routes need. */
+export interface ServiceRoutesDeps {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly config: ConfigStore;
+  readonly configAgeMs: Millis;
+  readonly bodyBytes: number;
+  readonly admission: AdmissionPolicy;
+  readonly dispatcher: RequestDispatcher;
+  readonly open: OpenRequests;
+  readonly estimateWait: (service: ServiceId) => Millis;
+  readonly isStopping: () => boolean;
+  /** Told of a request that was answered whole. */
+  readonly onServed: (served: ServedRequest) => void;
+}
+
+/** A request that was answered whole. */
+export interface ServedRequest {
+  readonly request: RequestId;
+  readonly team: TeamId;
+  readonly service: ServiceId;
+  readonly tokens: number;
+}
+
+interface Caller {
+  readonly team: Team | undefined;
+  readonly key: KeyId | '';
+}
+
+interface Target {
+  readonly service: Service;
+  readonly route: Route;
+  readonly path: string;
+}
+
+/** Everything that is known of a request before it is admitted. */
+interface Arrival extends Caller, Target {
+  readonly id: RequestId;
+  readonly body: Buffer;
+  readonly costTokens: number;
+  readonly affinityKey: string | undefined;
+  readonly deadline: MonoTime;
+}
+
+/**
+ * Registers the service routes.
+ *
+ * @param app - the server
+ * @param deps - the policies and the way to the targets
+ */
+export function registerServiceRoutes(app: FastifyInstance, deps: ServiceRoutesDeps): void {
+  const handler = new ServiceHandler(deps);
+  void app.register(async (scope) => {
+    scope.removeAllContentTypeParsers();
+    scope.addContentTypeParser(
+      '*',
+      { parseAs: 'buffer', bodyLimit: deps.bodyBytes },
+      (_: unknown, body: Buffer) => Promise.resolve(body),
+    );
+    scope.all('/s/*', (req, res) => handler.handle(req, res));
+  });
+}
+
+class ServiceHandler {
+  readonly #deps: ServiceRoutesDeps;
+
+  constructor(deps: ServiceRoutesDeps) {
+    this.#deps = deps;
+  }
+
+  async handle(req: FastifyRequest, res: FastifyReply): Promise<FastifyReply> {
+    const arrival = this.#receive(req);
+    if (arrival.isErr()) return this.#refuse(req, res, arrival.error);
+    const admission = this.#admit(arrival.value);
+    if (admission.isErr()) return this.#refuse(req, res, admission.error);
+    return this.#serve(req, res, arrival.value, admission.value);
+  }
+
+  #receive(req: FastifyRequest): Result<Arrival, Failure> {
+    const { config, clock } = this.#deps;
+    if (this.#deps.isStopping()) return refuse('shutting_down', RETRY_SOON_MS);
+    const { view } = config;
+    if (isNone(view)) return refuse('not_ready', RETRY_SOON_MS);
+    if (!config.isFresh(this.#deps.configAgeMs)) return refuse('config_stale', RETRY_SOON_MS);
+    return findTarget(view.value, req).andThen((target) =>
+      identify(view.value, req, target.route).andThen((caller) => {
+        const id = req.id as RequestId;
+        const body = Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0);
+        const headers = toTargetHeaders(req.headers, id);
+        if (isKeyExposed(req.headers.authorization, req.url, headers, body)) {
+          return refuse('request_invalid', undefined, 'the key stands outside its header');
+        }
+        const estimate =
+          target.service.kind === 'model'
+            ? estimateModelRequest(body)
+            : { costTokens: 1, prefix: undefined };
+        const deadline = (clock.mono() + target.service.deadlineMs) as MonoTime;
+        const { costTokens, prefix: affinityKey } = estimate;
+        return ok({ ...target, ...caller, id, body, costTokens, affinityKey, deadline });
+      }),
+    );
+  }
+
+  #admit(arrival: Arrival): Result<Admission | undefined, Failure> {
+    if (arrival.team === undefined) return ok(undefined);
+    return this.#deps.admission.admit({
+      team: arrival.team,
+      service: arrival.service.name,
+      costTokens: arrival.costTokens,
+      remainingMs: arrival.deadline - this.#deps.clock.mono(),
+      estimatedWaitMs: this.#deps.estimateWait(arrival.service.name),
+    });
+  }
+
+  async #serve(
+    req: FastifyRequest,
+    res: FastifyReply,
+    arrival: Arrival,
+    admission: Admission | undefined,
+  ): Promise<FastifyReply> {
+    const ending = new AbortController();
+    let isCut = false;
+    const cut = (): void => {
+      isCut = true;
+      ending.abort();
+    };
+    const onClose = (): void => ending.abort();
+    res.raw.once('close', onClose);
+    this.#deps.open.add({ id: arrival.id, key: arrival.key, cut });
+    let tokens = 0;
+    try {
+      const answer = await this.#deps.dispatcher.dispatch(
+        this.#createDispatch(req, arrival, ending.signal),
+      );
+      if (answer.isErr()) {
+        const failure = isCut
+          ? createFailure('key_withdrawn', { run: answer.error.run })
+          : answer.error;
+        this.#refuse(req, res, failure);
+        return res;
+      }
+      tokens = await this.#forward(req, res, arrival, answer.value, ending.signal);
+      return res;
+    } finally {
+      this.#deps.open.remove(arrival.id);
+      admission?.settle(tokens);
+      admission?.release();
+    }
+  }
+
+  #createDispatch(req: FastifyRequest, arrival: Arrival, signal: AbortSignal): DispatchRequest {
+    const { service, route, team, key, affinityKey } = arrival;
+    const idempotencyKey = route.idempotent ? '' : String(req.headers['idempotency-key'] ?? '');
+    return {
+      request: arrival.id,
+      service: service.name,
+      team: team?.name ?? '',
+      key,
+      isPublic: route.public,
+      method: req.method,
+      path: arrival.path,
+      headers: toTargetHeaders(req.headers, arrival.id),
+      body: arrival.body,
+      isIdempotent: route.idempotent,
+      isModel: service.kind === 'model',
+      isBillable: team !== undefined,
+      retain: false,
+      idempotencyKey: idempotencyKey.slice(0, MOST_KEY_LENGTH),
+      ...(affinityKey !== undefined && { affinityKey }),
+      deadline: arrival.deadline,
+      costTokens: arrival.costTokens,
+      priority: PRIORITY_NORMAL,
+      signal,
+    };
+  }
+
+  /** Sends the answer on. Returns its tokens, or zero when it broke off. */
+  async #forward(
+    req: FastifyRequest,
+    res: FastifyReply,
+    arrival: Arrival,
+    answer: OpenAnswer,
+    signal: AbortSignal,
+  ): Promise<number> {
+    const { attempt } = answer;
+    res.hijack();
+    const { raw } = res;
+    const timer = setTimeout(
+      () => attempt.fail(createFailure('deadline_exceeded', { run: 'may-have-run' })),
+      Math.max(0, arrival.deadline - this.#deps.clock.mono()),
+    );
+    const onAbort = (): void => attempt.fail(createFailure('cancelled', { run: 'may-have-run' }));
+    signal.addEventListener('abort', onAbort);
+    writeHead(raw, req, answer, this.#deps.isStopping());
+    try {
+      for (;;) {
+        const event = await attempt.next();
+        if (event.kind === 'chunk') {
+          await write(raw, event.data);
+          attempt.credit(event.data.length);
+        } else if (event.kind === 'end') {
+          raw.end();
+          this.#finish(arrival, attempt.run.request as RequestId, event.tokens);
+          attempt.acknowledge(arrival.team !== undefined);
+          return event.tokens;
+        } else if (event.kind === 'failed') {
+          this.#deps.metrics.count(`broken.${event.failure.code}`);
+          attempt.cancel();
+          // A partial answer must not look like a whole one.
+          raw.destroy();
+          return 0;
+        }
+      }
+    } finally {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', onAbort);
+    }
+  }
+
+  #finish(arrival: Arrival, request: RequestId, tokens: number): void {
+    const { team, service } = arrival;
+    this.#deps.metrics.count('served');
+    if (team === undefined) return;
+    this.#deps.onServed({ request, team: team.name, service: service.name, tokens });
+  }
+
+  #refuse(req: FastifyRequest, res: FastifyReply, failure: Failure): FastifyReply {
+    this.#deps.metrics.countRefusal(failure.code);
+    if (this.#deps.isStopping()) void res.header('connection', 'close');
+    return sendRefusal(req, res, failure);
+  }
+}
+
+function findTarget(view: ConfigView, req: FastifyRequest): Result<Target, Failure> {
+  const parts = SERVICE_PATH.exec(req.url);
+  if (parts === null) return refuse('route_unknown');
+  const [, name = '', path = '/', query = ''] = parts;
+  const service = view.findService(decodeName(name) as ServiceId);
+  if (isNone(service)) return refuse('route_unknown');
+  const route = view.findRoute(service.value, req.method, path);
+  if (isNone(route)) return refuse('route_unknown');
+  return ok({ service: service.value, route: route.value, path: `${path}${query}` });
+}
+
+function identify(view: ConfigView, req: FastifyRequest, route: Route): Result<Caller, Failure> {
+  if (route.public) return ok({ team: undefined, key: '' });
+  return checkKey(view, req.headers.authorization).andThen(({ team, key }) => {
+    const found = view.findTeam(team);
+    return isSome(found) ? ok<Caller>({ team: found.value, key }) : refuse('key_unknown');
+  });
+}
+
+function refuse(name: Failure['code'], retryAfterMs?: Millis, detail = ''): Result<never, Failure> {
+  return err(createFailure(name, { detail, ...(retryAfterMs !== undefined && { retryAfterMs }) }));
+}
+
+function decodeName(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
+
+function writeHead(
+  raw: FastifyReply['raw'],
+  req: FastifyRequest,
+  answer: OpenAnswer,
+  isStopping: boolean,
+): void {
+  answer.headers.forEach((header) => raw.appendHeader(header.name, header.value));
+  raw.setHeader('x-request-id', req.id);
+  if (isStopping) raw.setHeader('connection', 'close');
+  raw.writeHead(answer.status);
+}
+
+async function write(raw: FastifyReply['raw'], data: Buffer): Promise<void> {
+  if (raw.write(data) || raw.destroyed) return;
+  await new Promise<void>((resolve) => {
+    const done = (): void => {
+      raw.off('drain', done);
+      raw.off('close', done);
+      resolve();
+    };
+    raw.once('drain', done);
+    raw.once('close', done);
+  });
+}
