--- a/packages/config/src/history.ts
+++ b/packages/config/src/history.ts
@@ -62,6 +62,11 @@
   state: z.unknown(),
 });
 
+/** Makes the record of a snapshot's content. */
+export function toSnapshot(state: ConfigState): ConfigSnapshot {
+  return { through: state.version, asOf: state.asOf, state: state.declarations };
+}
+
 const IGNORED: Verdict = { type: 'ignored' };
 
 /**
@@ -111,14 +116,14 @@
   }
 
   /**
-   * Notes that the log no longer holds the records before an offset.
+   * Notes that reading begins, or goes on, at an offset.
    *
-   * @param first - the first offset that can be read
+   * @param first - the offset of the next record to be read; a gap before it detaches the history
    */
-  skipTo(first: Offset): void {
-    if (first <= this.#position + 1) return;
+  readFrom(first: Offset): void {
+    if (this.#isAttached && first <= this.#position + 1) return;
     this.#state = this.state;
-    this.#isAttached = false;
+    this.#isAttached = first === 0 && this.#state === undefined;
     this.#firstRead = first;
     this.#position = first - 1;
     this.#pending = [];
@@ -132,7 +137,7 @@
    */
   read(record: LogRecord): Judgement[] {
     if (record.offset <= this.#position) return [];
-    if (this.#position < 0 && record.offset > 0) this.skipTo(record.offset);
+    if (this.#position < 0 && record.offset > 0) this.readFrom(record.offset);
     this.#position = record.offset;
     if (this.#isAttached) return [{ record, verdict: this.#judge(record) }];
     this.#pending.push(record);
@@ -217,7 +222,13 @@
   return judgements.reverse();
 }
 
-function readSnapshot(record: LogRecord): Result<ConfigState, undefined> {
+/**
+ * Reads a snapshot.
+ *
+ * @param record - any record
+ * @returns its state, or undefined as the error when it is no well-formed snapshot
+ */
+export function readSnapshot(record: LogRecord): Result<ConfigState, undefined> {
   if (record.kind !== SNAPSHOT_KIND) return err(undefined);
   const payload = SnapshotPayload.safeParse(record.payload);
   if (!payload.success) return err(undefined);
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -23,12 +23,25 @@
 
 export { toCanonical } from './canonical';
 
-export { CHANGE_KIND, ConfigHistory, NO_VERSION, SNAPSHOT_KIND } from './history';
+export {
+  CHANGE_KIND,
+  ConfigHistory,
+  NO_VERSION,
+  SNAPSHOT_KIND,
+  readSnapshot,
+  toSnapshot,
+} from './history';
 export type { ConfigChange, ConfigSnapshot, ConfigState, Judgement, Verdict } from './history';
 
 export { ConfigStore } from './store';
 export type { ChangeListener, ConfigStoreOptions } from './store';
 
+export { ConfigFollower } from './follower';
+export type { ConfigFollowerOptions } from './follower';
+
+export { DelayPolicy, ExponentialDelay, SnapshotRenewal, UniformDelay } from './renewal';
+export type { RenewalOptions } from './renewal';
+
 export { checkKey, checkKeyId, createKey, hashSecret } from './keys';
 export type { CreatedKey, KeyHolder } from './keys';
 
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -104,13 +104,13 @@
   }
 
   /**
-   * Notes that the log no longer holds the records before an offset.
+   * Notes that reading of the log begins, or goes on, at an offset.
    *
-   * @param first - the first offset that can be read
+   * @param first - the offset of the next record to be read
    */
-  skipTo(first: Offset): void {
-    this.#history.skipTo(first);
-    if (!this.#history.isAttached) log.warn('Records are missing.', { first });
+  readFrom(first: Offset): void {
+    this.#history.readFrom(first);
+    if (!this.#history.isAttached) log.warn('Earlier records are missing.', { first });
   }
 
   /**
--- /dev/null
+++ b/packages/config/test/naive-rules.ts
@@ -0,0 +1,53 @@
+/** Rules that look right and aren't, to show that the checker finds them out. */
+import type { ConfigVersion, Offset } from '@hibiscushill/base';
+import type { LogRecord } from '@hibiscushill/platform';
+import { ok } from 'neverthrow';
+
+import { ConfigHistory, type ConfigState, type Judgement, readSnapshot } from '../src';
+import type { Reader } from './race';
+
+/** The last valid change wins, whatever it was based on. */
+export class LastWriteWins implements Reader {
+  state: ConfigState | undefined;
+
+  position = -1;
+
+  isAttached = true;
+
+  get version(): number {
+    return this.state?.version ?? -1;
+  }
+
+  readFrom(first: Offset): void {
+    if (first <= this.position + 1) return;
+    this.isAttached = false;
+    this.position = first - 1;
+  }
+
+  read(record: LogRecord): Judgement[] {
+    this.position = record.offset;
+    if (record.kind !== 'config.change') return [];
+    const { declarations } = record.payload as { declarations: ConfigState['declarations'] };
+    const version = record.offset as number as ConfigVersion;
+    this.state = { version, asOf: record.offset, declarations };
+    this.isAttached = true;
+    return [{ record, verdict: { type: 'accepted', version } }];
+  }
+
+  adopt(state: ConfigState) {
+    if (state.version > this.version) this.state = state;
+    return ok([]);
+  }
+}
+
+/** A reader without a version trusts the first snapshot that it meets. */
+export class TrustsAnySnapshot extends ConfigHistory {
+  override read(record: LogRecord): Judgement[] {
+    const judgements = super.read(record);
+    const snapshot = readSnapshot(record);
+    if (!this.isAttached && this.version < 0 && snapshot.isOk()) {
+      super.adopt({ ...snapshot.value, asOf: record.offset });
+    }
+    return judgements;
+  }
+}
--- a/packages/config/test/store.test.ts
+++ b/packages/config/test/store.test.ts
@@ -47,7 +47,7 @@
 
   it('knows no configuration on a trimmed log without a snapshot', () => {
     const store = create();
-    store.skipTo(5 as Offset);
+    store.readFrom(5 as Offset);
     store.apply(change(5, -1));
     store.apply(change(6, 4));
     expect(isNone(store.view)).toBe(true);
@@ -56,7 +56,7 @@
 
   it('takes a snapshot only if it has read every record since the snapshot was made', () => {
     const store = create();
-    store.skipTo(5 as Offset);
+    store.readFrom(5 as Offset);
     store.apply(snapshot(5, 2, 3, sample(3)));
     expect(store.version).toBe(-1);
     store.apply(change(6, 4, sample(4)));
@@ -73,7 +73,7 @@
 
   it('judges covered records by the bases that lead to the snapshot', () => {
     const store = create();
-    store.skipTo(5 as Offset);
+    store.readFrom(5 as Offset);
     store.apply(change(5, 3));
     store.apply(change(6, 3));
     store.apply(change(7, 5));
@@ -89,7 +89,7 @@
   it('keeps its version, and judges nothing, when records were trimmed before it read them', () => {
     const store = create();
     store.apply(change(0, -1, sample(1)));
-    store.skipTo(9 as Offset);
+    store.readFrom(9 as Offset);
     store.apply(change(9, 0, sample(2)));
     expect([store.version, store.isAttached]).toEqual([0, false]);
     store.apply(snapshot(10, 7, 8, sample(3)));
