--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -1,17 +1,13 @@
 /** Steps, numbers, crashes of owners and engines, as a trainer sees them. */
-import type { StepId, WeightVersion } from '@hibiscushill/base';
 import { expect, test } from 'vitest';
 
-import { NoHedging, TailHedging } from '../src';
 import {
   STEP,
   Stage,
   TestTrainer,
   drive,
-  driveUntil,
   findCursorFaults,
   findLabelFaults,
-  findStaleFaults,
   listIds,
   makeGroups,
 } from './support';
