--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -287,7 +287,10 @@
   #leave(state: Dispatch, attempt: OutgoingAttempt): Result<OpenAnswer, Failure> | undefined {
     attempt.cancel();
     remove(state.open, attempt);
-    const failure = createFailure('outcome_unknown', { detail: 'link broken', run: 'may-have-run' });
+    const failure = createFailure('outcome_unknown', {
+      detail: 'link broken',
+      run: 'may-have-run',
+    });
     state.noteFailure(failure);
     return state.open.length > 0 ? undefined : err(failure);
   }
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -105,12 +105,15 @@
     this.#deps = deps;
   }
 
-  async handle(req: FastifyRequest, res: FastifyReply): Promise<FastifyReply> {
+  async handle(req: FastifyRequest, res: FastifyReply): Promise<void> {
     const arrival = this.#receive(req);
-    if (arrival.isErr()) return this.#refuse(req, res, arrival.error);
+    if (arrival.isErr()) {
+      this.#refuse(req, res, arrival.error);
+      return;
+    }
     const admission = this.#admit(arrival.value);
-    if (admission.isErr()) return this.#refuse(req, res, admission.error);
-    return this.#serve(req, res, arrival.value, admission.value);
+    if (admission.isErr()) this.#refuse(req, res, admission.error);
+    else await this.#serve(req, res, arrival.value, admission.value);
   }
 
   #receive(req: FastifyRequest): Result<Arrival, Failure> {
@@ -154,7 +157,7 @@
     res: FastifyReply,
     arrival: Arrival,
     admission: Admission | undefined,
-  ): Promise<FastifyReply> {
+  ): Promise<void> {
     const ending = new AbortController();
     let isCut = false;
     const cut = (): void => {
@@ -174,10 +177,9 @@
           ? createFailure('key_withdrawn', { run: answer.error.run })
           : answer.error;
         this.#refuse(req, res, failure);
-        return res;
+        return;
       }
       tokens = await this.#forward(req, res, arrival, answer.value, ending.signal);
-      return res;
     } finally {
       this.#deps.open.remove(arrival.id);
       admission?.settle(tokens);
@@ -261,10 +263,10 @@
     this.#deps.onServed({ request, team: team.name, service: service.name, tokens });
   }
 
-  #refuse(req: FastifyRequest, res: FastifyReply, failure: Failure): FastifyReply {
+  #refuse(req: FastifyRequest, res: FastifyReply, failure: Failure): void {
     this.#deps.metrics.countRefusal(failure.code);
     if (this.#deps.isStopping()) void res.header('connection', 'close');
-    return sendRefusal(req, res, failure);
+    sendRefusal(req, res, failure);
   }
 }
 
