--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -164,7 +164,9 @@
   }
 
   onVersion(session: LinkSession, version: number, since: MonoTime): void {
+    const wasReady = this.#gate.isReady;
     this.#sync.compare(session, version, since);
+    if (this.#gate.isReady !== wasReady) this.#scheduleLoad();
   }
 
   onFrame(session: LinkSession, frame: ToAgent): void {
@@ -407,7 +409,7 @@
       slots: this.#work.slots,
       served: this.#work.served,
       leaving: this.#gate.isLeaving,
-      ready: isSome(this.#options.config.view),
+      ready: this.#gate.isReady,
       weights: this.#options.weights.versions,
     };
   }
--- a/packages/agent/src/gate.ts
+++ b/packages/agent/src/gate.ts
@@ -10,7 +10,7 @@
 } from '@hibiscushill/base';
 import { type ConfigStore, checkKeyId } from '@hibiscushill/config';
 import type { Run } from '@hibiscushill/protocol';
-import { isNone } from 'fp-ts/Option';
+import { isNone, isSome } from 'fp-ts/Option';
 import { type Result, err, ok } from 'neverthrow';
 
 const RETRY_SOON_MS: Millis = 100;
@@ -40,6 +40,12 @@
     return this.#isLeaving;
   }
 
+  /** Whether the configuration is known and was confirmed lately. */
+  get isReady(): boolean {
+    const { config, configAgeMs } = this.#options;
+    return isSome(config.view) && config.isFresh(configAgeMs);
+  }
+
   /** Takes no new work from now on. */
   leave(): void {
     this.#isLeaving = true;
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -62,6 +62,7 @@
       zone: peer.hello?.availabilityZone,
       incarnation: peer.hello?.incarnation,
       up: peer.isUp,
+      ready: peer.load.ready,
       leaving: peer.load.leaving,
       running: peer.load.running,
       queued: peer.load.queued,
