Wire trainers: samples over the links, weight orders, owners, forwarding

Cause: trainers had no way from the entry to engines. Change: LinkSampleRunner keeps each payload at its agent until the cursor passes; LinkWeightOrders matches reports by order; a call at an entry that isn't the owner is forwarded over the peer link.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -362,7 +362,7 @@
     if (attempt.isWhole) this.#usage.add(attempt);
     if (attempt.state === 'running' && attempt.run.idempotent) attempt.cancel();
     else if (!attempt.isDone && attempt.state !== 'running') this.#withdraw(attempt, 'cancelled');
-    this.#ledger.settle(attempt);
+    this.#ledger.orphan(attempt);
   }
 
   #refuseWith(attempt: Attempt, failure: Failure): void {
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -114,6 +114,12 @@
     if (attempt.run.idempotencyKey === '') attempt.dropAnswer();
   }
 
+  /** Marks an attempt as settled whose answer another entry may still ask for. */
+  orphan(attempt: Attempt): void {
+    if (attempt.run.retain && attempt.isWhole) attempt.settle(this.#clock.mono());
+    else this.settle(attempt);
+  }
+
   /** Forgets what is settled and old. */
   sweep(): void {
     const now = this.#clock.mono();
@@ -126,7 +132,8 @@
 
   #isForgettable(attempt: Attempt, now: MonoTime): boolean {
     if (attempt.settledAt === undefined) return false;
-    const keepMs = attempt.run.idempotencyKey === '' ? this.#rememberMs : this.#replayMs;
+    const isKept = attempt.run.idempotencyKey !== '' || attempt.storedBytes > 0;
+    const keepMs = isKept ? this.#replayMs : this.#rememberMs;
     return now - attempt.settledAt > keepMs;
   }
 
--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -27,7 +27,12 @@
 import type { TargetView } from '@hibiscushill/routing';
 import type { XXHashAPI } from 'xxhash-wasm';
 
-import { type AttemptLink, OutgoingAttempt, WINDOW_BYTES } from './outgoing-attempt';
+import {
+  type AttemptLink,
+  type AttemptName,
+  OutgoingAttempt,
+  WINDOW_BYTES,
+} from './outgoing-attempt';
 
 /** How long an attempt waits for its broken link to come back, in milliseconds. */
 const REATTACH_MS: Millis = 2500;
@@ -191,10 +196,10 @@
   /**
    * Reads an attempt's kept answer again from its start.
    *
-   * @param run - the frame that started it
-   * @returns the attempt, or undefined when the link is down
+   * @param run - how the attempt is named
+   * @returns the attempt; undefined when the link is down or the agent has restarted
    */
-  reopen(run: Run): OutgoingAttempt | undefined {
+  reopen(run: AttemptName): OutgoingAttempt | undefined {
     if (!this.#isUp || this.#hello?.incarnation !== run.incarnation) return undefined;
     const hash = this.#options.hash.create64();
     const attempt = new OutgoingAttempt(run, this.#hello.target as TargetId, this, hash);
@@ -217,6 +222,10 @@
     this.send({ $case: 'ack', value: { attempt: attempt.id, billed } });
   }
 
+  forget(attempt: OutgoingAttempt): void {
+    this.#attempts.delete(attempt.id);
+  }
+
   cancel(attempt: OutgoingAttempt): void {
     this.#attempts.delete(attempt.id);
     const isSent = this.send({ $case: 'cancel', value: { attempt: attempt.id } });
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -39,6 +39,8 @@
   readonly isIdempotent: boolean;
   readonly isModel: boolean;
   readonly isBillable: boolean;
+  /** Whether a second attempt may be sent while the first is under way. */
+  readonly mayHedge: boolean;
   readonly retain: boolean;
   readonly idempotencyKey: string;
   readonly affinityKey?: string;
@@ -219,7 +221,7 @@
   #hedgeDelay({ req }: Dispatch): Millis | undefined {
     const delay = this.#options.hedgePolicy.delayFor({
       service: req.service,
-      idempotent: req.isIdempotent,
+      idempotent: req.isIdempotent && req.mayHedge,
       remainingMs: req.deadline - this.#options.clock.mono(),
     });
     return isNone(delay) ? undefined : delay.value;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,10 @@
 /** An entry: its parts, started and stopped together. */
 import {
   type Clock,
+  type Failure,
+  type InstanceId,
+  type TrainerId,
+  createFailure,
   type IncarnationId,
   Metrics,
   type RandomSource,
@@ -9,8 +13,17 @@
   createLogger,
   createRandomSource,
 } from '@hibiscushill/base';
-import { ConfigFollower, ConfigStore, ConfigSync } from '@hibiscushill/config';
-import { HttpLog, InstanceList } from '@hibiscushill/platform';
+import {
+  ConfigFollower,
+  ConfigStore,
+  ConfigSync,
+  type Trainer,
+  checkKey,
+} from '@hibiscushill/config';
+import { HttpLog, InstanceList, type ListedInstance } from '@hibiscushill/platform';
+import { TrainerService, registerTrainerRoutes } from '@hibiscushill/rollout';
+import { isSome, none } from 'fp-ts/Option';
+import { type Result, err, ok } from 'neverthrow';
 import { PeerServer } from '@hibiscushill/protocol';
 import { Ejector, WaitEstimator } from '@hibiscushill/routing';
 import type { FastifyInstance } from 'fastify';
@@ -18,6 +31,10 @@
 
 import { AgentPeer } from './agent-peer';
 import { AgentPool } from './agent-pool';
+import { LinkSampleRunner } from './sample-runner';
+import { LinkWeightOrders } from './link-weight-orders';
+import { EntryOwners, serveForwarded } from './owner-directory';
+import { TrainerDesks } from './trainer-desks';
 import { RequestDispatcher } from './dispatcher';
 import { OpenRequests } from './open-requests';
 import { PeerExchange } from './peer-exchange';
@@ -66,6 +83,16 @@
 
   readonly #exchange: PeerExchange;
 
+  readonly #log: HttpLog;
+
+  readonly #weightOrders: LinkWeightOrders;
+
+  readonly #trainers: TrainerDesks;
+
+  readonly #owners: EntryOwners;
+
+  readonly #trainerService: TrainerService;
+
   readonly #peerServer: PeerServer;
 
   readonly #waits = new WaitEstimator();
@@ -76,6 +103,8 @@
 
   #isStopping = false;
 
+  #candidates: readonly InstanceId[] = [];
+
   #addresses: EntryAddresses = { listening: '', inner: '' };
 
   private constructor(cfg: EntrySettings, hash: XXHashAPI) {
@@ -85,11 +114,12 @@
       prefix: 'hibiscus.entry',
       ...(cfg.statsdPort > 0 && { port: cfg.statsdPort }),
     });
+    this.#log = new HttpLog({ url: cfg.logUrl });
     this.#config = new ConfigStore({ clock, metrics: this.#metrics });
     this.#sync = new ConfigSync(this.#config);
     this.#follower = new ConfigFollower({
       clock,
-      log: new HttpLog({ url: cfg.logUrl }),
+      log: this.#log,
       store: this.#config,
       metrics: this.#metrics,
     });
@@ -103,9 +133,24 @@
       shares: this.#policies.shares,
       addresses: cfg.peers,
     });
-    this.#peerServer = new PeerServer((message) => this.#exchange.answer(message));
+    this.#peerServer = new PeerServer({
+      exchange: (message) => this.#exchange.answer(message),
+      forward: (call, signal) => serveForwarded(this.#trainerService, call, signal),
+    });
     this.#pool = this.#createPool(hash);
     this.#dispatcher = this.#createDispatcher();
+    this.#weightOrders = new LinkWeightOrders({
+      clock,
+      pool: this.#pool,
+      serviceOf: (trainer) => this.#findTrainer(trainer)?.service,
+    });
+    this.#trainers = this.#createTrainers();
+    this.#owners = new EntryOwners((trainer) => this.#trainers.owner(trainer));
+    this.#trainerService = new TrainerService({
+      desk: (trainer) => this.#trainers.desk(trainer),
+      owners: this.#owners,
+      metrics: this.#metrics,
+    });
     this.#app = this.#createApp();
   }
 
@@ -139,6 +184,7 @@
       await this.#clock.sleep(DRAIN_POLL_MS);
     }
     this.#stopping.abort();
+    await this.#trainers.stop();
     await this.#follower.stop();
     this.#pool.close();
     this.#peerServer.close();
@@ -170,7 +216,7 @@
       subsetSize,
       createPeer: (address) => this.#createPeer(address, hash),
       createEjector: () => new Ejector({ clock: this.#clock }),
-      onEntries: (entries) => this.#exchange.setEntries(entries),
+      onEntries: (entries) => this.#setEntries(entries),
     });
   }
 
@@ -187,7 +233,7 @@
         configVersion: this.#config.version,
       }),
       onUsage: () => undefined,
-      onWeightReport: () => undefined,
+      onWeightReport: (report) => this.#weightOrders.take(report),
       onLoad: (peer) => this.#noteLoad(peer),
       onSilent: (peer) => this.#noteSilence(peer),
     });
@@ -231,11 +277,61 @@
       open: this.#open,
       metrics: this.#metrics,
       isStopping,
-      duties: () => [],
+      duties: () => this.#trainers.duties,
+      swaps: () => this.#trainers.swaps,
+    });
+    registerTrainerRoutes(app, {
+      service: this.#trainerService,
+      authorize: (req, trainer) => this.#authorize(req.headers.authorization, trainer),
     });
     return app;
   }
 
+  #createTrainers(): TrainerDesks {
+    return new TrainerDesks({
+      clock: this.#clock,
+      metrics: this.#metrics,
+      log: this.#log,
+      config: this.#config,
+      entry: this.#cfg.instance,
+      incarnation: this.#incarnation,
+      candidates: () => this.#candidates,
+      orders: this.#weightOrders,
+      createRunner: (service) =>
+        new LinkSampleRunner({
+          clock: this.#clock,
+          dispatcher: this.#dispatcher,
+          pool: this.#pool,
+          service,
+          onServed: () => undefined,
+        }),
+    });
+  }
+
+  #setEntries(entries: readonly ListedInstance[]): void {
+    const live = entries.filter((entry) => entry.state === 'live');
+    this.#candidates = live.map((entry) => entry.id);
+    this.#owners.setAddresses(new Map(live.map((entry) => [entry.id, entry.address])));
+    this.#exchange.setEntries(entries);
+  }
+
+  #findTrainer(trainer: TrainerId): Trainer | undefined {
+    const { view } = this.#config;
+    const found = isSome(view) ? view.value.findTrainer(trainer) : none;
+    return isSome(found) ? found.value : undefined;
+  }
+
+  #authorize(authorization: string | undefined, trainer: TrainerId): Result<void, Failure> {
+    const { view } = this.#config;
+    if (!isSome(view)) return err(createFailure('not_ready'));
+    if (!this.#config.isFresh(this.#cfg.configAgeMs)) return err(createFailure('config_stale'));
+    return checkKey(view.value, authorization).andThen(({ team }) => {
+      const declared = this.#findTrainer(trainer);
+      if (declared === undefined) return err(createFailure('route_unknown'));
+      return declared.team === team ? ok(undefined) : err(createFailure('team_mismatch'));
+    });
+  }
+
   #pushConfig(): void {
     this.#pool.peers.forEach((peer) => this.#sync.answer(peer, peer.hello?.configVersion ?? -1));
   }
--- a/packages/entry/src/outgoing-attempt.ts
+++ b/packages/entry/src/outgoing-attempt.ts
@@ -3,12 +3,13 @@
   type AttemptId,
   type Failure,
   type IncarnationId,
+  type RequestId,
   type RunState,
   type TargetId,
   createFailure,
   findCodeName,
 } from '@hibiscushill/base';
-import type { End, Header, NotRun, Run, Segment } from '@hibiscushill/protocol';
+import type { End, Header, NotRun, Segment } from '@hibiscushill/protocol';
 import type { XXHash } from 'xxhash-wasm';
 
 /** How many bytes of an answer the agent may send ahead of the caller. */
@@ -25,11 +26,19 @@
   | { readonly kind: 'revoked'; readonly started: boolean }
   | { readonly kind: 'down' };
 
+/** How an attempt is named in frames. */
+export interface AttemptName {
+  readonly attempt: string;
+  readonly incarnation: string;
+  readonly request: string;
+}
+
 /** What an attempt asks of its link. */
 export interface AttemptLink {
   credit(attempt: AttemptId, bytes: number): void;
   acknowledge(attempt: OutgoingAttempt, billed: boolean): void;
   cancel(attempt: OutgoingAttempt): void;
+  forget(attempt: OutgoingAttempt): void;
   revoke(attempt: OutgoingAttempt): void;
 }
 
@@ -41,7 +50,7 @@
 
   readonly incarnation: IncarnationId;
 
-  readonly run: Run;
+  readonly request: RequestId;
 
   readonly #link: AttemptLink;
 
@@ -58,15 +67,15 @@
   #isDone = false;
 
   /**
-   * @param run - the frame that was sent
+   * @param run - how the attempt is named in frames
    * @param target - the target
    * @param link - the link to its agent
    * @param hash - a fresh hash for the answer's digest
    */
-  constructor(run: Run, target: TargetId, link: AttemptLink, hash: XXHash<bigint>) {
+  constructor(run: AttemptName, target: TargetId, link: AttemptLink, hash: XXHash<bigint>) {
     this.id = run.attempt as AttemptId;
     this.incarnation = run.incarnation as IncarnationId;
-    this.run = run;
+    this.request = run.request as RequestId;
     this.target = target;
     this.#link = link;
     this.#hash = hash;
@@ -112,6 +121,11 @@
     this.#link.acknowledge(this, billed);
   }
 
+  /** Leaves the answer with the agent, which keeps it for a later attempt to read. */
+  leave(): void {
+    this.#link.forget(this);
+  }
+
   /** Stops the work. Nothing that still arrives counts. */
   cancel(): void {
     this.#isDone = true;
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -203,6 +203,7 @@
       isIdempotent: route.idempotent,
       isModel: service.kind === 'model',
       isBillable: team !== undefined,
+      mayHedge: true,
       retain: false,
       idempotencyKey: idempotencyKey.slice(0, MOST_KEY_LENGTH),
       ...(affinityKey !== undefined && { affinityKey }),
@@ -239,7 +240,7 @@
           attempt.credit(event.data.length);
         } else if (event.kind === 'end') {
           raw.end();
-          this.#finish(arrival, attempt.run.request as RequestId, event.tokens);
+          this.#finish(arrival, attempt.request, event.tokens);
           attempt.acknowledge(arrival.team !== undefined);
           return event.tokens;
         } else if (event.kind === 'failed') {
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -19,6 +19,7 @@
   readonly metrics: Metrics;
   readonly isStopping: () => boolean;
   readonly duties: () => readonly DutyStatus[];
+  readonly swaps: () => readonly object[];
 }
 
 /** A duty that this entry holds. */
@@ -55,6 +56,7 @@
     configVersion: config.version,
     openRequests: open.size,
     duties: deps.duties(),
+    swaps: deps.swaps(),
     targets: pool.peers.map((peer) => ({
       address: peer.address,
       target: peer.hello?.target,
--- a/packages/proof/src/demo.ts
+++ b/packages/proof/src/demo.ts
@@ -3,6 +3,7 @@
 
 import { Cluster } from './cluster';
 import { createExamplePlan } from './example';
+import { TrainerClient } from './trainer-client';
 
 const SEED = 1;
 
@@ -59,6 +60,7 @@
   { what: 'an order that runs once', run: showOrder },
   { what: 'a public route without a key', run: showPublic },
   { what: 'a refusal without a key', run: showRefusal },
+  { what: 'a step of labelled samples', run: showStep },
 ];
 
 async function showGenerate(cluster: Cluster): Promise<string> {
@@ -119,6 +121,18 @@
   return JSON.stringify(body);
 }
 
+async function showStep(cluster: Cluster): Promise<string> {
+  const trainer = new TrainerClient(cluster, { trainer: 'rind-notes', team: 'orchard' });
+  await trainer.publish(1);
+  await trainer.createStep('step-1', [
+    { id: 'brine', prompt: 'Describe the brine of lot 41.', count: 3, maxTokens: 16 },
+    { id: 'rind', prompt: 'Describe the rind of lot 41.', count: 3, maxTokens: 16 },
+  ]);
+  const samples = await trainer.collect('step-1', 6);
+  const versions = samples.flatMap((sample) => sample.segments.map((part) => part.version));
+  return `${samples.length} samples from weight versions ${[...new Set(versions)].join(', ')}`;
+}
+
 function entryUrl(cluster: Cluster, index = 0): string {
   const urls = cluster.entryUrls;
   return urls[index % urls.length] ?? '';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,6 +6,7 @@
 export type { LinkServerHandlers, LinkServerOptions } from './link-server';
 
 export { PeerClient, PeerServer } from './peer';
+export type { PeerHandlers } from './peer';
 
 export { DEFAULT_HEARTBEAT, HeartbeatTracker } from './heartbeat';
 export type { HeartbeatOptions } from './heartbeat';
@@ -16,6 +17,8 @@
   ConfigOffer,
   End,
   EntryHello,
+  ForwardedCall,
+  ForwardedReply,
   Header,
   Heartbeat,
   Load,
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -11,7 +11,19 @@
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 
 import { CLIENT_OPTIONS, SERVER_OPTIONS } from './channel';
-import { PeerClient as PeerStub, type PeerMessage, PeerService } from './generated/link';
+import {
+  type ForwardedCall,
+  type ForwardedReply,
+  PeerClient as PeerStub,
+  type PeerMessage,
+  PeerService,
+} from './generated/link';
+
+/** What an entry answers to its peers. */
+export interface PeerHandlers {
+  readonly exchange: (message: PeerMessage) => PeerMessage;
+  readonly forward: (call: ForwardedCall, signal: AbortSignal) => Promise<ForwardedReply>;
+}
 
 /** A peer of this entry. */
 export class PeerClient {
@@ -47,19 +59,54 @@
       res === undefined ? errAsync(createFailure('target_down')) : okAsync(res),
     );
   }
+
+  /**
+   * Passes a trainer's call on.
+   *
+   * @param call - the call
+   * @param options - the deadline in milliseconds, and an early end
+   * @returns the owner's answer
+   */
+  forward(
+    call: ForwardedCall,
+    options: { timeoutMs: Millis; signal: AbortSignal },
+  ): ResultAsync<ForwardedReply, Failure> {
+    const stub = new PeerStub(this.address, credentials.createInsecure(), CLIENT_OPTIONS);
+    const answer = new Promise<ForwardedReply | undefined>((resolve) => {
+      const deadline = Date.now() + options.timeoutMs;
+      const sent = stub.forward(call, new Metadata(), { deadline }, (err, res) => {
+        stub.close();
+        resolve(err ? undefined : res);
+      });
+      options.signal.addEventListener('abort', () => sent.cancel(), { once: true });
+    });
+    return ResultAsync.fromSafePromise(answer).andThen((res) =>
+      res === undefined
+        ? errAsync(createFailure('not_owner', { run: 'may-have-run' }))
+        : okAsync(res),
+    );
+  }
 }
 
 /** The server that peers call. */
 export class PeerServer {
   readonly #server = new Server(SERVER_OPTIONS);
 
-  /** @param answer - makes the answer to a peer's message */
-  constructor(answer: (message: PeerMessage) => PeerMessage) {
+  /** @param handlers - what is answered */
+  constructor(handlers: PeerHandlers) {
     this.#server.addService(PeerService, {
       exchange: (
         call: ServerUnaryCall<PeerMessage, PeerMessage>,
         callback: sendUnaryData<PeerMessage>,
-      ) => callback(null, answer(call.request)),
+      ) => callback(null, handlers.exchange(call.request)),
+      forward: (
+        call: ServerUnaryCall<ForwardedCall, ForwardedReply>,
+        callback: sendUnaryData<ForwardedReply>,
+      ) => {
+        const gone = new AbortController();
+        call.once('cancelled', () => gone.abort());
+        void handlers.forward(call.request, gone.signal).then((reply) => callback(null, reply));
+      },
     });
   }
 
