--- a/packages/proof/src/cluster.ts
+++ b/packages/proof/src/cluster.ts
@@ -47,9 +47,10 @@
 /** A target with its stand-in and its agent. */
 export interface RunningTarget {
   readonly plan: TargetPlan;
-  backend: Child;
-  agent: Child;
-  readonly restarts: number;
+  readonly backend: Child;
+  readonly agent: Child;
+  /** What entries connect through, so that connections can be cut or made silent. */
+  readonly cutter: Child;
 }
 
 /** A running deployment. */
@@ -115,26 +116,45 @@
 
   /** Starts a target's stand-in with its agent. */
   async startTarget(plan: TargetPlan): Promise<void> {
-    const backend = await this.startBackend(plan, '127.0.0.1:0');
-    const agent = await this.startAgent(plan, backend);
-    this.targets.set(plan.target, { plan, backend, agent, restarts: 0 });
+    const backend = await this.#startBackend(plan);
+    const agent = await this.#startAgent(plan, backend, '127.0.0.1:0');
+    const cutter = await Child.start(`cutter-${plan.target}`, 'hibiscus-fakes', [
+      'cutter',
+      '--target',
+      agent.ready.inner ?? '',
+    ]);
+    this.targets.set(plan.target, { plan, backend, agent, cutter });
+    await this.register({
+      id: `agent-${plan.target}`,
+      role: 'agent',
+      zone: plan.zone,
+      address: cutter.ready.listening ?? '',
+      service: plan.service,
+      target: plan.target,
+    });
   }
 
-  /** Starts the stand-in of a target. */
-  async startBackend(plan: TargetPlan, listen: string): Promise<Child> {
+  /** Starts the agent of a target again, at the address that it had. */
+  async restartAgent(target: RunningTarget): Promise<void> {
+    const agent = await this.#startAgent(
+      target.plan,
+      target.backend,
+      target.agent.ready.inner ?? '127.0.0.1:0',
+    );
+    this.targets.set(target.plan.target, { ...target, agent });
+  }
+
+  async #startBackend(plan: TargetPlan): Promise<Child> {
     return Child.start(plan.target, 'hibiscus-fakes', [
       plan.role,
-      '--listen',
-      listen,
       '--seed',
       String(this.plan.seed),
       ...(plan.settings ? ['--settings', JSON.stringify(plan.settings)] : []),
     ]);
   }
 
-  /** Starts the agent of a target and registers it. */
-  async startAgent(plan: TargetPlan, backend: Child): Promise<Child> {
-    const agent = await Child.start(`agent-${plan.target}`, 'hibiscus-agent', [
+  async #startAgent(plan: TargetPlan, backend: Child, innerListen: string): Promise<Child> {
+    return Child.start(`agent-${plan.target}`, 'hibiscus-agent', [
       '--instance',
       `agent-${plan.target}`,
       '--zone',
@@ -151,17 +171,10 @@
       this.platformUrl,
       '--weights-url',
       this.platformUrl,
+      '--inner-listen',
+      innerListen,
       ...(this.plan.agentArgs ?? []),
     ]);
-    await this.register({
-      id: `agent-${plan.target}`,
-      role: 'agent',
-      zone: plan.zone,
-      address: agent.ready.inner ?? '',
-      service: plan.service,
-      target: plan.target,
-    });
-    return agent;
   }
 
   /** Starts an entry and registers it. */
@@ -206,7 +219,9 @@
     await Promise.all([...this.entries.values()].map((entry) => entry.stop('SIGKILL')));
     const targets = [...this.targets.values()];
     await Promise.all(
-      targets.flatMap(({ agent, backend }) => [agent.stop('SIGKILL'), backend.stop('SIGKILL')]),
+      targets.flatMap(({ agent, backend, cutter }) =>
+        [agent, backend, cutter].map((child) => child.stop('SIGKILL')),
+      ),
     );
     await this.platform.stop('SIGKILL');
   }
--- a/packages/proof/src/main.ts
+++ b/packages/proof/src/main.ts
@@ -2,6 +2,9 @@
 import sade from 'sade';
 
 import { runDemo } from './demo';
+import type { FaultKind } from './faults';
+import { writeHistory } from './history';
+import { proveRequests } from './request-proof';
 
 const program = sade('hibiscus-proof');
 
@@ -14,4 +17,48 @@
     process.exit(isGood ? 0 : 1);
   });
 
+program
+  .command('requests')
+  .describe('Runs callers against faults and checks the history.')
+  .option('--seed', 'First seed', 1)
+  .option('--runs', 'Number of runs, each with the next seed', 1)
+  .option('--faults', 'Faults of a run', 6)
+  .option('--kinds', 'Kinds of faults, separated by commas; all when left out')
+  .option('--span', 'Length of a run, in milliseconds', 8000)
+  .option('--rate', 'Calls a second', 150)
+  .option('--out', 'Folder for the histories', 'out')
+  .action(runRequests);
+
 program.parse(process.argv);
+
+interface RequestFlags {
+  seed: number;
+  runs: number;
+  faults: number;
+  kinds?: string;
+  span: number;
+  rate: number;
+  out: string;
+}
+
+async function runRequests(flags: RequestFlags): Promise<void> {
+  let broken = 0;
+  for (let { seed } = flags; seed < flags.seed + flags.runs; seed += 1) {
+    const result = await proveRequests({
+      seed,
+      faults: flags.faults,
+      spanMs: flags.span,
+      callsPerSecond: flags.rate,
+      ...(flags.kinds && { kinds: flags.kinds.split(',') as FaultKind[] }),
+    });
+    broken += result.violations.length;
+    await writeHistory(`${flags.out}/requests-${seed}.jsonl`, result.history);
+    const faults = result.history.faults.map(({ fault, on }) => `${fault} ${on}`).join(', ');
+    process.stdout.write(`seed ${seed}: ${JSON.stringify(result.summary)}\n  faults: ${faults}\n`);
+    result.violations.forEach((violation) =>
+      process.stdout.write(`  BROKEN ${JSON.stringify(violation)}\n`),
+    );
+  }
+  process.stdout.write(`${flags.runs} runs, ${broken} promises broken\n`);
+  process.exit(broken === 0 ? 0 : 1);
+}
