Close each usage window once on the log, and report exactly that

Cause: usage is billed by window; a window must never be reported with two figures, and one crash must lose nothing.

Change: UsageLedger batches items (usage.delta), repeats the same record until it is answered, and acknowledges agents only then. UsageWindows folds the stream: a batch counts once by (incarnation, seq), an item once by its request id; the first close under the present claim stands, with the offset up to which it counts; later items go to the next open window, marked. UsageReporter closes, asks the platform what it has, and sends the closed figures under an id made of window and close.

Ruled out: reading forward before each repeat of a delta (every entry would have to read the whole stream; a repeat is void by its number anyway).

Found by a failing test on the way: a tail leaves repeated ids out, so offsets that it hands out have holes; the folds took a hole for trimmed records and lost a batch (7 of 12 items counted). FoldReader now reads what lies between from the log itself.

--- a/packages/control/src/duty/keeper.ts
+++ b/packages/control/src/duty/keeper.ts
@@ -22,7 +22,7 @@
 import { Lease } from './lease';
 import { rankCandidates } from './rank';
 import { DUTY_KINDS, type DutyName, NO_CLAIM } from './records';
-import { readToEnd } from './reading';
+import { FoldReader } from './reading';
 
 const TTL_MS = 7_500;
 const ORDER_DEADLINE_MS = 1_000;
@@ -73,6 +73,8 @@
 
   readonly #history: ClaimHistory;
 
+  readonly #reader: FoldReader;
+
   readonly #logger;
 
   readonly #ttlMs: Millis;
@@ -112,6 +114,9 @@
     this.#clock = options.clock;
     this.#random = options.random ?? createRandomSource();
     this.#history = new ClaimHistory(options.duty);
+    this.#reader = new FoldReader(options.log, options.stream, this.#history, (record) =>
+      this.#apply(record),
+    );
     this.#logger = createLogger(`control.duty.${options.duty}`);
     this.#ttlMs = options.ttlMs ?? TTL_MS;
     const orderMs = options.orderDeadlineMs ?? ORDER_DEADLINE_MS;
@@ -152,7 +157,7 @@
 
   /** Starts to claim the duty. */
   start(): void {
-    this.#unsubscribe ??= this.#options.tail.subscribe((record) => this.#apply(record));
+    this.#unsubscribe ??= this.#options.tail.subscribe((record) => this.#reader.take(record));
     this.#task ??= this.#run();
   }
 
@@ -315,8 +320,7 @@
   }
 
   async #catchUp(): Promise<boolean> {
-    const { log, stream } = this.#options;
-    const isRead = await readToEnd(log, stream, this.#history, (record) => this.#apply(record));
+    const isRead = await this.#reader.readToEnd();
     this.#noticeRestart();
     if (isRead) this.#heardAt ??= this.#clock.mono();
     return isRead;
--- a/packages/control/src/duty/reading.ts
+++ b/packages/control/src/duty/reading.ts
@@ -1,37 +1,75 @@
-/** Reads a stream up to its end, beside the tail that follows it. */
+/** Feeds a fold with every record of a stream, in order and without a gap. */
 import type { Offset } from '@hibiscushill/base';
 import type { Log, LogRecord, StreamName } from '@hibiscushill/platform';
 
-import type { ClaimHistory } from './history';
-
 const PAGE_RECORDS = 500;
 
-/**
- * Reads what a history hasn't taken yet, until a read finds nothing more.
- *
- * @param log - the log
- * @param stream - the history's stream
- * @param history - tells where to go on; starts anew where records were trimmed
- * @param apply - takes each record
- * @returns whether the stream's end was reached
- */
-export async function readToEnd(
-  log: Log,
-  stream: StreamName,
-  history: ClaimHistory,
-  apply: (record: LogRecord) => void,
-): Promise<boolean> {
-  for (;;) {
-    const from = history.next ?? (0 as Offset);
-    const page = await log.read(stream, from, { limit: PAGE_RECORDS, waitMs: 0 });
-    if (page.isErr()) {
-      if (page.error.code !== 'offset_trimmed') return false;
-      const bounds = await log.bounds(stream);
-      if (bounds.isErr()) return false;
-      history.startAt(bounds.value.first);
-      continue;
+/** What takes the records of a stream one after the other. */
+export interface RecordFold {
+  /** The offset to take next, or undefined before the start is known. */
+  readonly next: Offset | undefined;
+  /** Starts anew at an offset, since what stood before is gone. */
+  startAt(first: Offset): void;
+  /** Takes the next record; one that was taken before is ignored. */
+  apply(record: LogRecord): unknown;
+}
+
+/** Feeds one fold from a tail, and from the log itself where the tail leaves records out. */
+export class FoldReader {
+  readonly #log: Log;
+
+  readonly #stream: StreamName;
+
+  readonly #fold: RecordFold;
+
+  readonly #apply: (record: LogRecord) => void;
+
+  /**
+   * @param log - the log
+   * @param stream - the stream
+   * @param fold - what takes the records
+   * @param apply - hands a record to the fold; `fold.apply` when left out
+   */
+  constructor(
+    log: Log,
+    stream: StreamName,
+    fold: RecordFold,
+    apply: (record: LogRecord) => void = (record) => fold.apply(record),
+  ) {
+    this.#log = log;
+    this.#stream = stream;
+    this.#fold = fold;
+    this.#apply = apply;
+  }
+
+  /**
+   * Takes a record from a tail. A tail leaves repeated ids out, and may be ahead of the fold: what
+   * lies between is then read from the log.
+   */
+  take(record: LogRecord): void {
+    const { next } = this.#fold;
+    if (next === undefined || record.offset <= next) this.#apply(record);
+    else void this.readToEnd();
+  }
+
+  /**
+   * Reads what the fold hasn't taken yet, until a read finds nothing more.
+   *
+   * @returns whether the stream's end was reached
+   */
+  async readToEnd(): Promise<boolean> {
+    for (;;) {
+      const from = this.#fold.next ?? (0 as Offset);
+      const page = await this.#log.read(this.#stream, from, { limit: PAGE_RECORDS, waitMs: 0 });
+      if (page.isErr()) {
+        if (page.error.code !== 'offset_trimmed') return false;
+        const bounds = await this.#log.bounds(this.#stream);
+        if (bounds.isErr()) return false;
+        if (bounds.value.first > (this.#fold.next ?? -1)) this.#fold.startAt(bounds.value.first);
+        continue;
+      }
+      page.value.records.forEach((record) => this.#apply(record));
+      if (page.value.records.length === 0) return true;
     }
-    page.value.records.forEach(apply);
-    if (page.value.records.length === 0) return true;
   }
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -11,3 +11,26 @@
 
 export { DUTY_KINDS, NO_CLAIM, parseDutyRecord } from './duty/records';
 export type { Claim, DutyName, DutyRecord, Sign } from './duty/records';
+
+export { FencedSender } from './order/sender';
+export type { FencedSenderOptions, WriteOrder } from './order/sender';
+
+export { UsageLedger } from './usage/ledger';
+export type { AgentItem, UsageLedgerOptions } from './usage/ledger';
+
+export { UsageReporter } from './usage/reporter';
+export type { UsageReporterOptions } from './usage/reporter';
+
+export { USAGE_DUTY, USAGE_KINDS, parseUsageRecord } from './usage/records';
+export type {
+  ClosedWindow,
+  UsageClose,
+  UsageDelta,
+  UsageItem,
+  UsageRecord,
+  UsageSnapshot,
+  WindowStart,
+} from './usage/records';
+
+export { UsageWindows } from './usage/windows';
+export type { Closing, UsageWindowsOptions } from './usage/windows';
--- /dev/null
+++ b/packages/control/src/usage/figures.ts
@@ -0,0 +1,36 @@
+/** Sums usage by team and service. */
+import type { UsageFigure } from '@hibiscushill/platform';
+import * as Ord from 'fp-ts/Ord';
+import { pipe } from 'fp-ts/function';
+import * as A from 'fp-ts/ReadonlyArray';
+import * as S from 'fp-ts/string';
+
+const byTeam = pipe(
+  S.Ord,
+  Ord.contramap((figure: UsageFigure) => figure.team as string),
+);
+const byService = pipe(
+  S.Ord,
+  Ord.contramap((figure: UsageFigure) => figure.service as string),
+);
+
+/**
+ * Sums figures so that each team and service stands once.
+ *
+ * @param parts - the figures to sum
+ * @returns the sums, in the order of team and service
+ */
+export function sumFigures(parts: readonly UsageFigure[]): UsageFigure[] {
+  const sums = new Map<string, UsageFigure>();
+  parts.forEach(({ team, service, requests, tokens }) => {
+    const key = JSON.stringify([team, service]);
+    const sum = sums.get(key) ?? { team, service, requests: 0, tokens: 0 };
+    sums.set(key, {
+      team,
+      service,
+      requests: sum.requests + requests,
+      tokens: sum.tokens + tokens,
+    });
+  });
+  return [...pipe([...sums.values()], A.sortBy([byTeam, byService]))];
+}
--- a/packages/control/test/duty-harness.ts
+++ b/packages/control/test/duty-harness.ts
@@ -10,7 +10,7 @@
   type WallTime,
   createFailure,
 } from '@hibiscushill/base';
-import { Log, type LogRecord, LogTail, MemoryLog } from '@hibiscushill/platform';
+import { Log, type LogRecord, LogTail, MemoryLog, type StreamName } from '@hibiscushill/platform';
 import { isSome } from 'fp-ts/Option';
 import { ResultAsync, errAsync } from 'neverthrow';
 
@@ -51,6 +51,10 @@
 
   #waiting: (() => void)[] = [];
 
+  shut(): void {
+    this.isShut = true;
+  }
+
   async pass<T>(value: T): Promise<T> {
     if (this.isShut) {
       await new Promise<void>((resolve) => {
@@ -79,6 +83,14 @@
     super();
   }
 
+  cut(): void {
+    this.isCut = true;
+  }
+
+  heal(): void {
+    this.isCut = false;
+  }
+
   override append(...args: Parameters<Log['append']>): ReturnType<Log['append']> {
     return this.#call(() => this.inner.append(args[0], args[1]));
   }
@@ -111,6 +123,7 @@
 /** How a member differs from the others. */
 export interface MemberOptions {
   readonly rate?: number;
+  readonly stream?: StreamName;
   readonly keeper?: Partial<DutyKeeperOptions>;
 }
 
@@ -140,11 +153,12 @@
     const clock = new ProcessClock(this.clock.mono(), gate, options.rate ?? 1);
     const log = new ProcessLog(this.log, gate);
     const random = new RandomSource(this.members.length + 1);
-    const tail = new LogTail({ log, stream: 'targets', clock, random });
+    const { stream = 'targets' } = options;
+    const tail = new LogTail({ log, stream, clock, random });
     const keeper = new DutyKeeper({
       log,
       tail,
-      stream: 'targets',
+      stream,
       duty: DUTY,
       holder: name as InstanceId,
       incarnation: `${name}.1` as IncarnationId,
