--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -34,3 +34,15 @@
 
 export { UsageWindows } from './usage/windows';
 export type { Closing, UsageWindowsOptions } from './usage/windows';
+
+export { DemandSummary } from './scaling/demand';
+export type { Demand, DemandRow, EntryDemand } from './scaling/demand';
+
+export { FixedCountPolicy, ScalingPolicy, TargetUtilisationPolicy } from './scaling/policy';
+export type { ScalingDecision, ScalingInput, TargetUtilisationOptions } from './scaling/policy';
+
+export { runScalingExperiment } from './scaling/experiment';
+export type { ScalingExperiment, ScalingOutcome } from './scaling/experiment';
+
+export { TargetScaler } from './scaling/scaler';
+export type { RunningWork, TargetScalerOptions } from './scaling/scaler';
--- a/packages/control/test/usage.test.ts
+++ b/packages/control/test/usage.test.ts
@@ -86,6 +86,29 @@
     expect(bench.entries[1]?.windows.unreported).toEqual([]);
   });
 
+  it('counts a batch once that lands again when its requests are forgotten', () => {
+    const windows = new UsageWindows({ windowMs: 100, repeatPeriodMs: 10 });
+    const item = { request: 'q', team: 't', service: 's', requests: 1, tokens: 5, finishedAt: 0 };
+    const delta = { incarnation: 'e.1', seq: 1, items: [item] };
+    [0, 40].forEach((at, offset) => {
+      windows.apply({ ...createRecord(offset, USAGE_KINDS.delta, delta), appendedAt: at as never });
+    });
+    expect(windows.close(0).figures).toMatchObject([{ requests: 1 }]);
+  });
+
+  it('acknowledges an agent only when the log has its items', async () => {
+    const { first } = await startPair();
+    const acks: number[] = [];
+    first.ledger.onAck((_agent, through) => acks.push(through));
+    bench.duty.log.setFaults({ outage: true });
+    first.ledger.takeBatch(AGENT, [held(1, bench.item(1))]);
+    await bench.pass(3_000);
+    expect(acks).toEqual([]);
+    bench.duty.log.setFaults({ outage: false });
+    await bench.pass(3_000);
+    expect(acks).toEqual([1]);
+  });
+
   it('moves what comes after the close to the next open window, marked', () => {
     const windows = new UsageWindows({ windowMs: 100 });
     const figure = { team: 't', service: 's', requests: 1, tokens: 5 };
