Drop the trend from the scaling policy

Cause: the trend was meant to order targets ahead of demand by the warm-up time.

Tried: least squares over the last 30 loads (5 minutes).

Targets that warm up still count as running, and nothing is given back meanwhile.

--- a/packages/control/src/scaling/experiment.ts
+++ b/packages/control/src/scaling/experiment.ts
@@ -88,6 +88,8 @@
 
   #waiting: number[] = [];
 
+  #firstWaiting = 0;
+
   #burstUntil = -1;
 
   #targetSeconds = 0;
@@ -152,7 +154,8 @@
   #serve(second: number): void {
     const { slots, serviceMs, lateMs } = this.setup;
     const free = Math.max(0, this.#live * slots - this.#endings.length);
-    const served = this.#waiting.splice(0, free);
+    const served = this.#waiting.slice(this.#firstWaiting, this.#firstWaiting + free);
+    this.#firstWaiting += served.length;
     served.forEach((cameAt) => {
       if ((second - cameAt) * SECOND_MS > lateMs) this.#late += 1;
       this.#endings.push(second + this.#random.exponential(serviceMs) / SECOND_MS);
@@ -163,7 +166,7 @@
     const { slots, least, most, warmUpMs } = this.setup;
     const demand = {
       inFlight: this.#endings.length,
-      queued: this.#waiting.length,
+      queued: this.#waiting.length - this.#firstWaiting,
       tokensPerSecond: 0,
       requestsPerSecond: 0,
       refusedPerSecond: 0,
--- a/packages/control/src/scaling/policy.ts
+++ b/packages/control/src/scaling/policy.ts
@@ -58,8 +58,6 @@
   readonly lowUtilisation?: number;
   /** How long demand has to stay low before a target is given back, in milliseconds. */
   readonly surplusMs?: Millis;
-  /** How long a target takes from its order until it takes work, in milliseconds. */
-  readonly warmUpMs?: Millis;
   /** The most targets given back by one decision. */
   readonly stopStep?: number;
 }
@@ -67,25 +65,16 @@
 const UTILISATION = 0.7;
 const LOW_UTILISATION = 0.5;
 const SURPLUS_MS = 300_000;
-const WARM_UP_MS = 120_000;
 const STOP_STEP = 1;
-const TREND_SAMPLES = 30;
-
-interface LoadSample {
-  readonly at: MonoTime;
-  readonly load: number;
-}
 
 /**
- * Wants as many targets as keep the slots filled to a share of them, for the demand expected when
- * a target ordered now would take work. Gives targets back only after demand stayed low for long,
- * and never below what the rest can carry.
+ * Wants as many targets as keep the slots filled to a share of them. Targets that warm up count as
+ * running, so that they aren't ordered twice, and nothing is given back meanwhile. Gives targets
+ * back only after demand stayed low for long, and never below what the rest can carry.
  */
 export class TargetUtilisationPolicy extends ScalingPolicy {
   readonly #options: Required<TargetUtilisationOptions>;
 
-  #samples: LoadSample[] = [];
-
   #surplusSince: MonoTime | undefined;
 
   /** @param options - shares and times */
@@ -95,7 +84,6 @@
       utilisation: UTILISATION,
       lowUtilisation: LOW_UTILISATION,
       surplusMs: SURPLUS_MS,
-      warmUpMs: WARM_UP_MS,
       stopStep: STOP_STEP,
       ...options,
     };
@@ -105,9 +93,7 @@
     const now = clock.mono();
     const load = input.demand.inFlight + input.demand.queued;
     const running = input.live + input.starting;
-    this.#remember({ at: now, load });
-    const expected = Math.max(load, load + this.#slope() * this.#options.warmUpMs);
-    const needed = Math.ceil(expected / (input.slots * this.#options.utilisation));
+    const needed = Math.ceil(load / (input.slots * this.#options.utilisation));
     if (running < input.least || running > input.most) {
       return { wanted: clamp(Math.max(needed, running), input), reason: 'bounds' };
     }
@@ -115,12 +101,12 @@
       this.#surplusSince = undefined;
       return { wanted: clamp(needed, input), reason: 'demand' };
     }
-    return this.#decideSurplus(input, expected, now);
+    return this.#decideSurplus(input, load, now);
   }
 
-  #decideSurplus(input: ScalingInput, expected: number, now: MonoTime): ScalingDecision {
+  #decideSurplus(input: ScalingInput, load: number, now: MonoTime): ScalingDecision {
     const running = input.live + input.starting;
-    const carry = Math.ceil(expected / (input.slots * this.#options.lowUtilisation));
+    const carry = Math.ceil(load / (input.slots * this.#options.lowUtilisation));
     const wanted = clamp(Math.max(carry, running - this.#options.stopStep), input);
     if (wanted >= running || input.starting > 0 || input.demand.queued > 0) {
       this.#surplusSince = undefined;
@@ -133,26 +119,6 @@
     this.#surplusSince = now;
     return { wanted, reason: 'surplus' };
   }
-
-  #remember(sample: LoadSample): void {
-    this.#samples.push(sample);
-    if (this.#samples.length > TREND_SAMPLES) this.#samples.shift();
-  }
-
-  // Requests a millisecond, by least squares over the last samples.
-  #slope(): number {
-    const count = this.#samples.length;
-    if (count < TREND_SAMPLES) return 0;
-    const meanAt = this.#samples.reduce((sum, sample) => sum + sample.at, 0) / count;
-    const meanLoad = this.#samples.reduce((sum, sample) => sum + sample.load, 0) / count;
-    let products = 0;
-    let squares = 0;
-    this.#samples.forEach((sample) => {
-      products += (sample.at - meanAt) * (sample.load - meanLoad);
-      squares += (sample.at - meanAt) ** 2;
-    });
-    return squares === 0 ? 0 : products / squares;
-  }
 }
 
 function clamp(count: number, bounds: Pick<ScalingInput, 'least' | 'most'>): number {
