Write guarded orders through node:http on a connection that is already open

Cause: with undici's Client the guarded sender told lease_short, not run, for orders that reached the platform: in all three of three calls against a plain server the POST was seen. The request was queued after the check; resetting the socket made the client connect anew and send the queued request on it.

Ruled out: checking undici's counters around the write, which is what failed; an HTTP writer of our own.

Change: a connection of its own for each order, opened first; the request is bound to it; then the check and req.end stand in one tick; past the deadline the socket is reset. Cost: one connect an order, some a minute.

Seen: a server in another thread has the order while this thread is blocked right after the tick, with the new sender and with a plain request on an open socket; not with a client that connects after the check (0 of 1 arrived).

--- a/packages/platform/src/guarded-sender.ts
+++ b/packages/platform/src/guarded-sender.ts
@@ -1,129 +1,138 @@
 /** Calls that may be written only while a lease covers them. */
-import type { Socket } from 'node:net';
+import { once } from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
 
 import { type Failure, type Millis, createFailure } from '@hibiscushill/base';
 import { type Result, ResultAsync, err, ok } from 'neverthrow';
-import { Client, buildConnector } from 'undici';
 
 import {
   type HttpAnswer,
   type HttpClientOptions,
   classifyError,
   createAnswer,
-  encodeBody,
 } from './http-client';
 
-const CALL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 30_000;
-const IDLE_TURNS = 16;
+const DEFAULT_PORT = 80;
 
 /** A call that is checked in the tick in which it is written. */
 export interface GuardedCall {
   readonly method: 'POST' | 'PUT';
   readonly path: string;
   readonly body: unknown;
-  /** A path whose `GET` proves that the connection answers. */
-  readonly probePath: string;
   /** When the call is abandoned and its connection reset, in milliseconds from the write. */
   readonly deadlineMs: Millis;
   /** Whether the call may be written now, until `deadlineMs` from now. */
   readonly mayWrite: () => boolean;
 }
 
-/** Sends one call at a time over one connection. */
+/** Sends each call over a connection of its own, which is open before the call is checked. */
 export class GuardedSender {
-  readonly #client: Client;
+  readonly #url: URL;
 
   readonly #prefix: string;
 
-  readonly #probeTimeoutMs: Millis;
+  readonly #connectTimeoutMs: Millis;
 
-  #socket: Socket | undefined;
+  readonly #sockets = new Set<net.Socket>();
 
-  #turn: Promise<unknown> = Promise.resolve();
-
-  /** @param options - the base URL and the deadline for the connection's probe */
+  /** @param options - the base URL and the deadline for the connection */
   constructor(options: HttpClientOptions) {
-    const connect = buildConnector({ timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS });
-    this.#prefix = new URL(options.url).pathname.replace(/\/$/, '');
-    this.#probeTimeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
-    this.#client = new Client(new URL(options.url).origin, {
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: (target, callback) =>
-        connect(target, (...result) => {
-          this.#socket = result[1] ?? undefined;
-          callback(...result);
-        }),
-    });
+    this.#url = new URL(options.url);
+    this.#prefix = this.#url.pathname.replace(/\/$/, '');
+    this.#connectTimeoutMs = options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS;
   }
 
   /**
-   * Opens the connection, asks whether the call may be written, and writes it in the same tick.
+   * Opens a connection, asks whether the call may be written, and writes it in the same tick.
    * Past its deadline the connection is reset, so that no byte of it is sent again.
    *
    * @param call - the call
    * @returns the answer; `lease_short` when it wasn't written
    */
   send(call: GuardedCall): ResultAsync<HttpAnswer, Failure> {
-    const result = this.#turn.then(() => this.#send(call));
-    this.#turn = result;
-    return new ResultAsync(result);
+    return new ResultAsync(this.#send(call));
   }
 
-  /** Closes the connection and ends what is in flight. */
+  /** Resets the connections and so ends what is in flight. */
   async close(): Promise<void> {
-    await this.#client.destroy();
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
   async #send(call: GuardedCall): Promise<Result<HttpAnswer, Failure>> {
-    const opened = await this.#open(call.probePath);
+    const opened = await this.#open();
     if (opened.isErr()) return err(opened.error);
     const socket = opened.value;
-    const before = socket.bytesWritten;
-    if (!call.mayWrite()) return err(createFailure('lease_short'));
-    const answer = this.#write(call);
-    if (socket.bytesWritten === before) {
-      socket.resetAndDestroy();
-      await answer;
-      return err(createFailure('lease_short', { detail: 'connection was busy' }));
+    this.#sockets.add(socket);
+    try {
+      return await this.#exchange(socket, call);
+    } finally {
+      this.#sockets.delete(socket);
+      socket.destroy();
     }
+  }
+
+  async #exchange(socket: net.Socket, call: GuardedCall): Promise<Result<HttpAnswer, Failure>> {
+    const body = Buffer.from(JSON.stringify(call.body));
+    const req = this.#createRequest(socket, call, body.length);
+    const answer = readResponse(req);
+    // The request takes the socket over some ticks after it was made; before that, it buffers.
+    if (!req.socket) await Promise.race([once(req, 'socket').catch(() => undefined), answer]);
+    if (!isOpen(socket) || req.socket !== socket) {
+      return err(createFailure('platform_down', { detail: 'connection closed' }));
+    }
+    if (!call.mayWrite()) return err(createFailure('lease_short'));
+    req.end(body);
     const timer = setTimeout(() => socket.resetAndDestroy(), call.deadlineMs);
     const result = await answer;
     clearTimeout(timer);
     return result;
   }
 
-  async #open(probePath: string): Promise<Result<Socket, Failure>> {
-    const signal = AbortSignal.timeout(this.#probeTimeoutMs);
+  #createRequest(socket: net.Socket, call: GuardedCall, length: number): http.ClientRequest {
+    return http.request({
+      method: call.method,
+      path: `${this.#prefix}${call.path}`,
+      headers: {
+        host: this.#url.host,
+        'content-type': 'application/json',
+        'content-length': length,
+        connection: 'close',
+      },
+      createConnection: () => socket,
+    });
+  }
+
+  async #open(): Promise<Result<net.Socket, Failure>> {
+    const port = Number(this.#url.port) || DEFAULT_PORT;
+    const socket = net.connect({ host: this.#url.hostname, port, noDelay: true });
+    const signal = AbortSignal.timeout(this.#connectTimeoutMs);
     try {
-      const path = `${this.#prefix}${probePath}`;
-      const res = await this.#client.request({ method: 'GET', path, signal });
-      await res.body.dump();
+      await once(socket, 'connect', { signal });
+      return ok(socket);
     } catch (error) {
-      this.#socket?.resetAndDestroy();
+      socket.destroy();
       return err({ ...classifyError(error), run: 'not-run' });
     }
-    for (let turn = 0; turn < IDLE_TURNS && this.#client.stats.size > 0; turn += 1) {
-      await new Promise(setImmediate);
-    }
-    const socket = this.#socket;
-    if (socket?.writable && this.#client.stats.size === 0) return ok(socket);
-    return err(createFailure('platform_down', { detail: 'connection closed' }));
   }
+}
 
-  async #write(call: GuardedCall): Promise<Result<HttpAnswer, Failure>> {
-    try {
-      const res = await this.#client.request({
-        method: call.method,
-        path: `${this.#prefix}${call.path}`,
-        ...encodeBody(call.body),
-      });
-      const body = await res.body.bytes();
-      return ok(createAnswer(res.statusCode, res.headers['retry-after'], body));
-    } catch (error) {
-      return err({ ...classifyError(error), run: 'may-have-run' });
-    }
+function isOpen(socket: net.Socket): boolean {
+  return socket.writable && !socket.connecting && !socket.destroyed;
+}
+
+async function readResponse(req: http.ClientRequest): Promise<Result<HttpAnswer, Failure>> {
+  try {
+    const [res] = (await once(req, 'response')) as [http.IncomingMessage];
+    const parts: Buffer[] = [];
+    for await (const part of res) parts.push(part as Buffer);
+    const { statusCode = 0, headers } = res;
+    return ok(createAnswer(statusCode, headers['retry-after'], Buffer.concat(parts)));
+  } catch (error) {
+    return err({ ...classifyError(error), run: 'may-have-run' });
+  } finally {
+    // A reset that comes after the answer was read is of no interest.
+    req.on('error', () => undefined);
   }
 }
--- a/packages/platform/src/target-orders.ts
+++ b/packages/platform/src/target-orders.ts
@@ -86,7 +86,6 @@
         method: 'POST',
         path: `${path}/orders`,
         body: order,
-        probePath: `${path}/targets`,
         ...guard,
       })
       .andThen((answer) => readReceipt(answer));
--- a/packages/platform/src/usage-reports.ts
+++ b/packages/platform/src/usage-reports.ts
@@ -72,9 +72,7 @@
    */
   report(window: string, report: UsageReport, guard: GuardOptions): ResultAsync<void, Failure> {
     const path = windowPath(window);
-    return this.#sender
-      .send({ method: 'PUT', path, body: report, probePath: path, ...guard })
-      .andThen(readReceipt);
+    return this.#sender.send({ method: 'PUT', path, body: report, ...guard }).andThen(readReceipt);
   }
 
   /**
