ctl: Validate, plan, apply, keys, status, explain; benches of config

Cause: operators need a way to change the configuration that never says accepted for what wasn't. Ruled out: trusting the append's answer (a change that landed second is stored too, and is a conflict); giving up at a lost answer (the record is looked up by id, and may be sent again, since of two copies at most the first fits its base). Change: ChangeApplier concludes only from the record as read back, or from another change that took the base; exit codes and CLI.md from tables.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -15,7 +15,7 @@
 export { checkReferences, formatPath, parseDeclarations } from './checks';
 export type { DeclarationProblem, ProblemPath } from './checks';
 
-export { formatProblem, loadDeclarations, readDeclarations } from './loading';
+export { formatProblem, formatYaml, loadDeclarations, readDeclarations } from './loading';
 export type { FileProblem, SourceFile } from './loading';
 
 export { SECTIONS, compareDeclarations } from './difference';
--- a/packages/config/src/loading.ts
+++ b/packages/config/src/loading.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 
 import { type Result, type ResultAsync, err, fromPromise } from 'neverthrow';
-import { type Document, LineCounter, isNode, parseAllDocuments } from 'yaml';
+import { type Document, LineCounter, isNode, parseAllDocuments, stringify } from 'yaml';
 import { z } from 'zod';
 
 import { type ProblemPath, formatPath, parseDeclarations } from './checks';
@@ -98,6 +98,16 @@
   return [place, problem.path, problem.message].filter((part) => part !== '').join(': ');
 }
 
+/**
+ * Writes part of a file of declarations.
+ *
+ * @param sections - sections with their items
+ * @returns the YAML, without a line break at its end
+ */
+export function formatYaml(sections: Partial<Record<Section, readonly object[]>>): string {
+  return stringify(sections).trimEnd();
+}
+
 async function readFiles(directory: string): Promise<SourceFile[]> {
   const names = (await readdir(directory)).filter((name) => EXTENSION.test(name)).sort();
   return Promise.all(
--- /dev/null
+++ b/packages/ctl/src/cli-page.ts
@@ -0,0 +1,58 @@
+/** The page `docs/CLI.md`, made from the tables of commands, settings and exit codes. */
+import { COMMANDS, type Command } from './commands';
+import { EXIT_CODES } from './exit-codes';
+import { CTL_SETTINGS } from './settings';
+
+/**
+ * Makes the page.
+ *
+ * @returns the page's Markdown
+ */
+export function createCliPage(): string {
+  return [
+    '# hibiscusctl',
+    '',
+    'Made from the tables in `packages/ctl/src` by `UPDATE_DOCS=1 npx vitest run packages/ctl`.',
+    '',
+    'Every command takes `--json`: one object on standard output with `outcome`, `exitCode` and',
+    'the fields of the command. Without it, a result goes to standard output and a refusal to',
+    'standard error.',
+    '',
+    '## Commands',
+    '',
+    ...COMMANDS.flatMap(describeCommand),
+    '## Settings',
+    '',
+    'A flag goes before its environment variable.',
+    '',
+    '| flag | variable | default | meaning |',
+    '| --- | --- | --- | --- |',
+    ...Object.values(CTL_SETTINGS).map(
+      (setting) =>
+        `| \`--${setting.flag}\` | \`${setting.env}\` | \`${setting.default}\` | ${setting.doc} |`,
+    ),
+    '',
+    '## Exit codes',
+    '',
+    '| code | `outcome` | meaning |',
+    '| --- | --- | --- |',
+    ...Object.entries(EXIT_CODES).map(
+      ([name, { code, meaning }]) => `| ${code} | \`${name}\` | ${meaning} |`,
+    ),
+    '',
+  ].join('\n');
+}
+
+function describeCommand(command: Command): string[] {
+  const options = command.options.map((option) => `- \`--${option.flag}\`: ${option.doc}`);
+  const exits = ['ok', ...command.exits].map((name) => `\`${name}\``).join(', ');
+  return [
+    `### hibiscusctl ${command.usage}`,
+    '',
+    command.doc,
+    '',
+    ...(options.length > 0 ? [...options, ''] : []),
+    `Ends with ${exits}.`,
+    '',
+  ];
+}
--- /dev/null
+++ b/packages/ctl/src/context.ts
@@ -0,0 +1,13 @@
+/** What commands run on. */
+import type { Clock, Millis } from '@hibiscushill/base';
+import type { Log } from '@hibiscushill/platform';
+
+/** What commands run on. */
+export interface CommandContext {
+  readonly log: Log;
+  readonly clock: Clock;
+  /** How long a change goes on finding out what became of it, in milliseconds. */
+  readonly waitMs: Millis;
+  /** The base URLs of the entries. */
+  readonly entries: readonly string[];
+}
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -1,2 +1,8 @@
 /** The program. */
-export {};
+import { runCli } from './cli';
+
+process.exitCode = await runCli(process.argv, {
+  env: process.env,
+  write: (text) => process.stdout.write(text),
+  writeError: (text) => process.stderr.write(text),
+});
--- /dev/null
+++ b/packages/ctl/test/cli.test.ts
@@ -0,0 +1,83 @@
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+
+import { SystemClock } from '@hibiscushill/base';
+import { Declarations, hashSecret, loadDeclarations } from '@hibiscushill/config';
+import { MemoryLog } from '@hibiscushill/platform';
+import { describe, expect, it } from 'vitest';
+
+import { COMMANDS, ChangeApplier, EXIT_CODES, createCliPage, runCli } from '../src';
+
+const EXAMPLE = new URL('../../../examples/declarations', import.meta.url).pathname;
+const PAGE = new URL('../../../docs/CLI.md', import.meta.url).pathname;
+const clock = new SystemClock();
+
+async function run(...args: string[]): Promise<{ code: number; out: string; problem: string }> {
+  let out = '';
+  let problem = '';
+  const code = await runCli(['node', 'hibiscusctl', ...args], {
+    env: {},
+    write: (text) => {
+      out += text;
+    },
+    writeError: (text) => {
+      problem += text;
+    },
+  });
+  return { code, out, problem };
+}
+
+function runOn(log: MemoryLog, usage: string, ...args: string[]) {
+  const command = COMMANDS.find((each) => each.usage.startsWith(usage));
+  if (command === undefined) throw new Error(`no command ${usage}`);
+  return command.run({ log, clock, waitMs: 2_000, entries: [] }, args, {});
+}
+
+describe('hibiscusctl', () => {
+  it('explains a code by number and by name, and says when there is none', async () => {
+    expect(await run('explain', '2003')).toMatchSnapshot();
+    expect((await run('explain', 'key_withdrawn')).out).toContain('1003');
+    expect((await run('explain', '17')).code).toBe(EXIT_CODES.missing.code);
+  });
+
+  it('validates the example declarations', async () => {
+    expect(await run('validate', EXAMPLE)).toMatchSnapshot();
+    const { out } = await run('validate', EXAMPLE, '--json');
+    expect(JSON.parse(out)).toMatchObject({ outcome: 'ok', exitCode: 0 });
+  });
+
+  it('ends with the code for a directory that is not there and for a wrong setting', async () => {
+    expect((await run('validate', '/nowhere')).code).toBe(EXIT_CODES.invalid.code);
+    expect((await run('status', '--wait-ms', 'x')).code).toBe(EXIT_CODES.usage.code);
+  });
+
+  it('prints a key whose declaration fits its token', async () => {
+    const { out } = await run('key', 'create', 'stalls', '--json');
+    const { declaration, token } = JSON.parse(out) as {
+      declaration: { id: string; hash: string };
+      token: string;
+    };
+    const [, id, secret = ''] = /^hk_([^_]+)_(.+)$/.exec(token) ?? [];
+    expect(declaration).toMatchObject({ id, team: 'stalls', hash: hashSecret(secret) });
+    expect((await run('key', 'create', 'stalls')).out).toContain('state: active');
+  });
+
+  it('plans, applies and withdraws a key', async () => {
+    const log = new MemoryLog({ clock });
+    expect((await runOn(log, 'plan', EXAMPLE)).lines).toMatchSnapshot();
+    expect((await runOn(log, 'apply', EXAMPLE)).data).toMatchObject({ version: 0, changed: true });
+    expect((await runOn(log, 'key withdraw', 'k1')).exit).toBe('missing');
+    const declared = (await loadDeclarations(EXAMPLE))._unsafeUnwrap();
+    const team = declared.teams[0]?.name;
+    const keys = [{ id: 'k1', team, hash: 'ab'.repeat(32) }];
+    const withKey = Declarations.parse({ ...declared, keys });
+    await new ChangeApplier({ log, clock, waitMs: 1_000 }).apply(withKey);
+    const withdrawn = await runOn(log, 'key withdraw', 'k1');
+    expect(withdrawn.lines).toMatchSnapshot();
+    expect((await runOn(log, 'key withdraw', 'k1')).data).toMatchObject({ changed: false });
+  });
+
+  it('has its page made from the tables', () => {
+    if (process.env.UPDATE_DOCS === '1') writeFileSync(PAGE, createCliPage());
+    expect(existsSync(PAGE) && readFileSync(PAGE, 'utf8')).toBe(createCliPage());
+  });
+});
--- /dev/null
+++ b/scripts/bench.mjs
@@ -0,0 +1,26 @@
+// Bundles a bench of a package and runs it: `node --expose-gc scripts/bench.mjs config/store`.
+import { resolve } from 'node:path';
+import process from 'node:process';
+import { pathToFileURL } from 'node:url';
+
+import { build } from 'esbuild';
+
+const [name, ...args] = process.argv.slice(2);
+const [part, file] = (name ?? '').split('/');
+const outfile = resolve('dist', 'bench', `${part}-${file}.mjs`);
+
+await build({
+  entryPoints: [`packages/${part}/bench/${file}.ts`],
+  outfile,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  banner: {
+    js: "import { createRequire as cr } from 'node:module'; const require = cr(import.meta.url);",
+  },
+  external: ['unix-dgram'],
+  logLevel: 'warning',
+});
+process.argv = [process.argv[0], outfile, ...args];
+await import(pathToFileURL(outfile).href);
