--- a/packages/routing/src/subset.ts
+++ b/packages/routing/src/subset.ts
@@ -3,6 +3,8 @@
 
 import { RendezvousKey } from './hashing';
 
+type Subsets = ReadonlyMap<InstanceId, Set<TargetId>>;
+
 interface ScoredPair {
   readonly entry: InstanceId;
   readonly target: TargetId;
@@ -35,6 +37,7 @@
   return chosen.sort();
 }
 
+/** Takes pairs in the order of their scores while the entry and the target have room. */
 function chooseEvenly(
   entry: InstanceId,
   entries: readonly InstanceId[],
@@ -42,30 +45,51 @@
   size: number,
 ): TargetId[] {
   const most = Math.ceil((entries.length * size) / targets.length);
-  const taken = new Map<TargetId, number>();
-  const subsets = new Map(entries.map((id) => [id, new Set<TargetId>()]));
-  const pairs = rankPairs(entries, targets);
-  const take = (bound: number) => {
-    for (const pair of pairs) {
-      const subset = subsets.get(pair.entry) as Set<TargetId>;
-      const count = taken.get(pair.target) ?? 0;
-      if (subset.size < size && count < bound && !subset.has(pair.target)) {
-        subset.add(pair.target);
-        taken.set(pair.target, count + 1);
-      }
+  const room = new Map(targets.map((target) => [target, most]));
+  const subsets: Subsets = new Map([...entries].sort().map((id) => [id, new Set<TargetId>()]));
+  for (const pair of rankPairs(entries, targets)) {
+    const subset = subsets.get(pair.entry) as Set<TargetId>;
+    const left = room.get(pair.target) as number;
+    if (subset.size < size && left > 0) {
+      subset.add(pair.target);
+      room.set(pair.target, left - 1);
     }
-  };
-  take(most);
-  // The last entries can find only targets that they hold already; they go above the bound.
-  take(Infinity);
+  }
+  subsets.forEach((subset) => fillUp(subset, subsets, room, size));
   return [...(subsets.get(entry) as Set<TargetId>)];
 }
 
+/** Fills a subset that already holds every target with room, by trading with a full subset. */
+function fillUp(
+  subset: Set<TargetId>,
+  subsets: Subsets,
+  room: Map<TargetId, number>,
+  size: number,
+): void {
+  for (const [target, left] of room) {
+    for (let count = left; count > 0 && subset.size < size; count -= 1) {
+      const giver = [...subsets.values()].find(
+        (other) => other.size === size && !other.has(target) && other !== subset,
+      );
+      const given = giver && [...giver].find((candidate) => !subset.has(candidate));
+      if (!giver || given === undefined) break;
+      giver.delete(given);
+      giver.add(target);
+      subset.add(given);
+      room.set(target, count - 1);
+    }
+  }
+}
+
 function rankPairs(entries: readonly InstanceId[], targets: readonly TargetId[]): ScoredPair[] {
   return entries
     .flatMap((entry) => {
       const key = new RendezvousKey(entry);
       return targets.map((target) => ({ entry, target, score: key.score(target) }));
     })
-    .sort((a, b) => b.score - a.score || (a.target < b.target ? -1 : 1));
+    .sort((a, b) => b.score - a.score || compare(a.entry + a.target, b.entry + b.target));
+}
+
+function compare(one: string, other: string): number {
+  return one < other ? -1 : 1;
 }
--- /dev/null
+++ b/packages/routing/test/targets.test.ts
@@ -0,0 +1,153 @@
+import { type InstanceId, ManualClock, type MonoTime, type TargetId } from '@hibiscushill/base';
+import * as fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { Ejector, WaitEstimator, chooseSubset } from '../src';
+import { createTarget } from './fixtures';
+
+const SEED = 71;
+
+function listIds<T extends string>(prefix: string, count: number): T[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}-${index}` as T);
+}
+
+describe('chooseSubset', () => {
+  const sizes = fc.tuple(
+    fc.integer({ min: 1, max: 20 }),
+    fc.integer({ min: 1, max: 30 }),
+    fc.integer({ min: 1, max: 12 }),
+  );
+
+  it('covers every target evenly when the entries know one another', () => {
+    const property = fc.property(sizes, ([entryCount, targetCount, size]) => {
+      const entries = listIds<InstanceId>('entry', entryCount);
+      const targets = listIds<TargetId>('target', targetCount);
+      const counts = new Map(targets.map((target) => [target, 0]));
+      entries.forEach((entry) => {
+        const subset = chooseSubset(entry, targets, size, { entries });
+        expect(new Set(subset).size).toBe(Math.min(size, targetCount));
+        subset.forEach((target) => counts.set(target, (counts.get(target) as number) + 1));
+      });
+      const mean = (entryCount * Math.min(size, targetCount)) / targetCount;
+      expect(Math.max(...counts.values())).toBeLessThanOrEqual(Math.ceil(mean));
+    });
+    fc.assert(property, { seed: SEED, numRuns: 100 });
+  });
+
+  it('depends neither on the order of the targets nor on that of the entries', () => {
+    const entries = listIds<InstanceId>('entry', 5);
+    const targets = listIds<TargetId>('target', 30);
+    const choose = (from: TargetId[], among: InstanceId[]) =>
+      chooseSubset('entry-2' as InstanceId, from, 8, { entries: among });
+    expect(choose([...targets].reverse(), [...entries].reverse())).toEqual(
+      choose(targets, entries),
+    );
+  });
+
+  it('changes at most one choice when a target leaves and the entries are unknown', () => {
+    const targets = listIds<TargetId>('target', 30);
+    const before = chooseSubset('entry-0' as InstanceId, targets, 8);
+    targets.forEach((gone) => {
+      const rest = targets.filter((target) => target !== gone);
+      const after = chooseSubset('entry-0' as InstanceId, rest, 8);
+      const kept = before.filter((target) => after.includes(target));
+      expect(kept).toHaveLength(before.includes(gone) ? 7 : 8);
+    });
+  });
+});
+
+describe('Ejector', () => {
+  function createEjector(count: number) {
+    const clock = new ManualClock();
+    const ejector = new Ejector({ clock });
+    const targets = listIds<TargetId>('t', count);
+    ejector.setTargets(targets);
+    return { clock, ejector, targets, first: targets[0] as TargetId };
+  }
+
+  it('ejects after failures in a row, and an answer between them starts the count anew', () => {
+    const { ejector, first } = createEjector(3);
+    const fail = (times: number) =>
+      Array.from({ length: times }, () => ejector.recordOutcome(first, 'failed'));
+    fail(4);
+    ejector.recordOutcome(first, 'answered');
+    fail(4);
+    expect(ejector.isEjected(first)).toBe(false);
+    fail(1);
+    expect(ejector.isEjected(first)).toBe(true);
+  });
+
+  it('probes once after the ejection, and ejects for longer when the probe fails', () => {
+    const { clock, ejector, first } = createEjector(3);
+    ejector.recordOutcome(first, 'silent');
+    clock.advance(1000);
+    expect(ejector.isEjected(first)).toBe(false);
+    ejector.recordSent(first);
+    expect(ejector.isEjected(first)).toBe(true);
+    ejector.recordOutcome(first, 'failed');
+    clock.advance(1999);
+    expect(ejector.isEjected(first)).toBe(true);
+    clock.advance(1);
+    ejector.recordSent(first);
+    ejector.recordOutcome(first, 'answered');
+    expect(ejector.isEjected(first)).toBe(false);
+  });
+
+  it('lets another probe go when the first is lost', () => {
+    const { clock, ejector, first } = createEjector(3);
+    ejector.recordOutcome(first, 'silent');
+    clock.advance(1000);
+    ejector.recordSent(first);
+    clock.advance(2000);
+    expect(ejector.isEjected(first)).toBe(false);
+  });
+
+  it('never ejects more than its share of the targets', () => {
+    const event = fc.tuple(fc.nat(9), fc.constantFrom('sent', 'answered', 'failed', 'silent'));
+    const property = fc.property(
+      fc.integer({ min: 1, max: 10 }),
+      fc.array(event),
+      (count, events) => {
+        const { clock, ejector, targets } = createEjector(count);
+        events.forEach(([at, kind]) => {
+          const target = targets[at % count] as TargetId;
+          if (kind === 'sent') ejector.recordSent(target);
+          else ejector.recordOutcome(target, kind);
+          clock.advance(200);
+          const out = targets.filter((id) => ejector.isEjected(id)).length;
+          expect(out).toBeLessThanOrEqual(Math.floor(count * 0.34));
+        });
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+});
+
+describe('WaitEstimator', () => {
+  const id = 't-0' as TargetId;
+  const report = (queued: number, served: number, atMono: number) => ({
+    queued,
+    served,
+    atMono: atMono as MonoTime,
+  });
+  const view = (queued: number, running = 8) => {
+    const target = createTarget(id);
+    return { ...target, reported: { ...target.reported, queued, running } };
+  };
+
+  it('divides the queue by the throughput under load', () => {
+    const estimator = new WaitEstimator();
+    estimator.takeReport(id, report(10, 0, 0));
+    estimator.takeReport(id, report(10, 50, 1000));
+    expect(estimator.estimate([view(20)])).toBe(400);
+    expect(estimator.estimate([view(20), createTarget('free')])).toBe(0);
+    expect(estimator.estimate([view(0, 2)])).toBe(0);
+  });
+
+  it('does not take the rate of an idle target for its throughput', () => {
+    const estimator = new WaitEstimator();
+    estimator.takeReport(id, report(0, 0, 0));
+    estimator.takeReport(id, report(0, 1, 1000));
+    expect(estimator.estimate([view(20)])).toBe(0);
+  });
+});
