--- a/packages/routing/src/affinity-policy.ts
+++ b/packages/routing/src/affinity-policy.ts
@@ -1,6 +1,6 @@
 /** Target choice by availability zone, prefix affinity and load. */
 import type { RandomSource } from '@hibiscushill/base';
-import { type Option, fromNullable } from 'fp-ts/Option';
+import { type Option, fromNullable, some } from 'fp-ts/Option';
 
 import { RendezvousKey } from './hashing';
 import { type ChoiceRequest, TargetPolicy, listCandidates } from './target-policy';
@@ -9,9 +9,9 @@
 /** How {@link AffinityTargetPolicy} chooses. */
 export interface AffinityOptions {
   readonly random: RandomSource;
-  /** The load of the own availability zone from which others are considered. */
+  /** The load of the best target of the own availability zone from which others count. */
   readonly spillLoad?: number;
-  /** How much less loaded another availability zone must be. */
+  /** How much less loaded a target of another availability zone must be. */
   readonly spillMargin?: number;
   /** How far above the mean load a target may go for the sake of affinity. */
   readonly loadFactor?: number;
@@ -41,18 +41,27 @@
   }
 
   override choose(req: ChoiceRequest, targets: readonly TargetView[]): Option<TargetView> {
-    const pool = this.#choosePool(req, listCandidates(req, targets));
-    const preferred = req.affinityKey ? this.#findPreferred(req.affinityKey, pool) : undefined;
-    return fromNullable(preferred ?? this.#chooseOfTwo(pool));
+    const candidates = listCandidates(req, targets);
+    const own = this.#chooseIn(
+      req,
+      candidates.filter((target) => target.zone === req.zone),
+    );
+    if (own && estimateLoad(own) < this.#spillLoad) return some(own);
+    const other = this.#chooseIn(
+      req,
+      candidates.filter((target) => target.zone !== req.zone),
+    );
+    return fromNullable(this.#isWorthLeaving(own, other) ? other : own);
+  }
+
+  #isWorthLeaving(own: TargetView | undefined, other: TargetView | undefined): boolean {
+    if (!own || !other) return other !== undefined;
+    return estimateLoad(other) + this.#spillMargin <= estimateLoad(own);
   }
 
-  #choosePool(req: ChoiceRequest, candidates: TargetView[]): TargetView[] {
-    const own = candidates.filter((target) => target.zone === req.zone);
-    if (own.length === 0) return candidates;
-    const ownLoad = poolLoad(own);
-    if (ownLoad < this.#spillLoad || own.length === candidates.length) return own;
-    const others = candidates.filter((target) => target.zone !== req.zone);
-    return poolLoad(others) + this.#spillMargin <= ownLoad ? others : own;
+  #chooseIn(req: ChoiceRequest, pool: readonly TargetView[]): TargetView | undefined {
+    const preferred = req.affinityKey ? this.#findPreferred(req.affinityKey, pool) : undefined;
+    return preferred ?? this.#chooseOfTwo(pool);
   }
 
   #findPreferred(affinityKey: string, pool: readonly TargetView[]): TargetView | undefined {
@@ -79,10 +88,6 @@
   return Math.max(1, target.reported.slots);
 }
 
-function poolLoad(pool: readonly TargetView[]): number {
-  return sum(pool.map(estimateAttempts)) / sum(pool.map(slotsOf));
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,3 +42,5 @@
 
 export { Ejector } from './ejector';
 export type { EjectorOptions, TargetOutcome } from './ejector';
+
+export { IndexedHeap } from './indexed-heap';
--- a/packages/routing/src/share-tracker.ts
+++ b/packages/routing/src/share-tracker.ts
@@ -40,11 +40,11 @@
 
 const DEFAULT_INITIAL_ENTRIES = 4;
 const DEFAULT_PERIOD_MS = 500;
-const DEFAULT_SETTLE_PERIODS = 2;
+const DEFAULT_SETTLE_PERIODS = 1;
 const DEFAULT_SILENT_MS = 3000;
 const DEFAULT_DECAY_MS = 10_000;
 const DEFAULT_FLOOR = 0.1;
-const DEFAULT_WINDOW_MS = 2000;
+const DEFAULT_WINDOW_MS = 1000;
 
 /**
  * Splits each team's bound by demand. Every entry computes the split from the same published
@@ -183,10 +183,9 @@
     Object.assign(state, {
       published: state.meter.rate,
       agreed: heard.length === this.#entries.length ? split : state.agreed,
-      recent: [
-        ...state.recent.slice(-this.#options.settlePeriods),
-        split.get(this.#options.entry) as number,
-      ],
+      recent: [...state.recent, split.get(this.#options.entry) as number].slice(
+        -1 - this.#options.settlePeriods,
+      ),
     });
   }
 
--- a/packages/routing/src/target-view.ts
+++ b/packages/routing/src/target-view.ts
@@ -20,6 +20,8 @@
   readonly reported: ReportedLoad;
   /** Attempts that this entry has sent since it received the report. */
   readonly sentSinceReport: number;
+  /** Attempts of this entry that have ended since it received the report. */
+  readonly endedSinceReport?: number;
   readonly leaving: boolean;
   readonly ejected: boolean;
   readonly ready: boolean;
@@ -38,15 +40,16 @@
 }
 
 /**
- * Estimates the attempts at a target: the reported ones and those sent since, and never fewer
+ * Estimates the attempts at a target: the reported ones, changed by those sent and ended since, and never fewer
  * than this entry's own.
  *
  * @param target - the target
  * @returns a number of attempts
  */
 export function estimateAttempts(target: TargetView): number {
-  const { running, queued } = target.reported;
-  return Math.max(target.inFlight, running + queued + target.sentSinceReport);
+  const { inFlight, reported, sentSinceReport, endedSinceReport = 0 } = target;
+  const { running, queued } = reported;
+  return Math.max(inFlight, running + queued + sentSinceReport - endedSinceReport);
 }
 
 /**
--- a/packages/routing/test/share-tracker.test.ts
+++ b/packages/routing/test/share-tracker.test.ts
@@ -44,10 +44,11 @@
 
   run(ms: number, check: () => void = () => undefined): void {
     for (let elapsed = 0; elapsed < ms; elapsed += TICK_MS) {
-      this.clock.advance(TICK_MS);
+      this.clock.advance(TICK_MS / 2);
       this.trackers.forEach((tracker, index) =>
         tracker.recordDemand(TEAM, ((this.demand[index] as number) * TICK_MS) / 1000),
       );
+      this.clock.advance(TICK_MS / 2);
       if (this.clock.mono() % GOSSIP_MS === 0) this.#gossip();
       check();
     }
