--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -10,6 +10,7 @@
 
 export { TrainerHistory } from './history';
 export type { ClaimReader } from './history';
+export { DutyClaims, nameDuty, nameStream, readFencing } from './fencing';
 export { StepHistory } from './step-history';
 
 export { isStale, measureStaleness } from './staleness';
@@ -37,6 +38,9 @@
 
 export { EngineWeights, WeightSource } from './engine-weights';
 export type { LoadOrder } from './engine-weights';
+export { HttpEngineWeights } from './http-engine-weights';
+export type { HttpEngineOptions } from './http-engine-weights';
+export { StoreWeights } from './store-weights';
 export { WeightApplier } from './applier';
 export type { ServedVersion, WeightApplierDeps } from './applier';
 export { WeightOrders } from './weight-orders';
--- a/packages/rollout/src/stragglers.ts
+++ b/packages/rollout/src/stragglers.ts
@@ -68,7 +68,7 @@
   /** @param options - when a sample counts as slow, and how many may be hedged */
   constructor(options: TailHedgingOptions = {}) {
     super();
-    this.#tailShare = options.tailShare ?? 0.1;
+    this.#tailShare = options.tailShare ?? 0.25;
     this.#slowdown = options.slowdown ?? 1.5;
     this.#budgetShare = options.budgetShare ?? 0.1;
     this.#leastMs = options.leastMs ?? 500;
--- a/packages/rollout/src/swapper.ts
+++ b/packages/rollout/src/swapper.ts
@@ -193,7 +193,8 @@
 
   #order(target: TargetId, version: WeightVersion, fencing: FencingNumber): WeightOrder {
     const { trainer } = this.#deps;
-    const order = `${trainer}/${version}/${fencing}/${target}` as RecordId;
+    const { tries } = this.#state(target);
+    const order = `${trainer}/${version}/${fencing}/${target}/${tries}` as RecordId;
     return { order, fencing, trainer, version };
   }
 
--- a/packages/rollout/src/target-swap.ts
+++ b/packages/rollout/src/target-swap.ts
@@ -27,6 +27,8 @@
 
   #failures = 0;
 
+  #tries = 0;
+
   #isSwapping = false;
 
   #preparing: WeightVersion | undefined;
@@ -57,6 +59,11 @@
     return this.#failures;
   }
 
+  /** How many swaps were begun, so that an engine doesn't take a retry for the order before. */
+  get tries(): number {
+    return this.#tries;
+  }
+
   /** The version that the target was last asked to fetch. */
   get preparing(): WeightVersion | undefined {
     return this.#preparing;
@@ -91,6 +98,7 @@
   /** Notes that a swap begins. */
   begin(): void {
     this.#isSwapping = true;
+    this.#tries += 1;
   }
 
   /**
--- a/packages/rollout/src/weight-orders.ts
+++ b/packages/rollout/src/weight-orders.ts
@@ -11,7 +11,7 @@
 
 /** An order to serve a weight version. */
 export interface WeightOrder {
-  /** The order's id; a repeated order has the same. */
+  /** The order's id. A retry has its own, with the same fencing number. */
   readonly order: RecordId;
   readonly fencing: FencingNumber;
   readonly trainer: TrainerId;
--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -1,15 +1,21 @@
 /** Steps, numbers, crashes of owners and engines, as a trainer sees them. */
+import type { WeightVersion } from '@hibiscushill/base';
+import { isSome } from 'fp-ts/Option';
 import { expect, test } from 'vitest';
 
+import { NoHedging, TailHedging } from '../src';
 import {
   STEP,
   Stage,
   TestTrainer,
   drive,
+  driveUntil,
   findCursorFaults,
   findLabelFaults,
+  findStaleFaults,
   listIds,
   makeGroups,
+  type TestOwner,
 } from './support';
 
 test('a step is delivered whole, once and labelled', async () => {
@@ -22,3 +28,153 @@
   expect(findLabelFaults(trainer.taken.map(({ run }) => run))).toEqual([]);
   await owner.kill();
 });
+
+/** Starts a stage with one owner and one step. */
+async function begin(
+  groups: ReturnType<typeof makeGroups>,
+  options: Parameters<Stage['startOwner']>[0] & { versions?: number } = {},
+) {
+  const stage = new Stage();
+  const versions = options.versions ?? 1;
+  stage.trainer = { ...stage.trainer, staleness: { versions, ms: 60_000 } };
+  const owner = await stage.startOwner(options);
+  const created = await drive(stage.clock, owner.desk.createStep(STEP, groups));
+  return { stage, owner, trainer: new TestTrainer(), created: created._unsafeUnwrap() };
+}
+
+test('the same step again gets the same answer, other content a conflict', async () => {
+  const { created, owner, stage } = await begin(makeGroups(1, 2));
+  const again = await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 2)));
+  expect(again._unsafeUnwrap()).toEqual(created);
+  const other = await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 3)));
+  expect(other._unsafeUnwrapErr().code).toBe('step_conflict');
+});
+
+test('asking again gives the same samples under the same numbers', async () => {
+  const { owner, stage } = await begin(makeGroups(1, 4));
+  const query = { step: STEP, after: 0, waitMs: 5000 };
+  await driveUntil(stage.clock, () => isWhole(owner));
+  const first = await drive(stage.clock, owner.desk.samples(query));
+  const second = await drive(stage.clock, owner.desk.samples(query));
+  expect(first._unsafeUnwrap().samples).toHaveLength(4);
+  expect(second._unsafeUnwrap()).toEqual(first._unsafeUnwrap());
+});
+
+test('a cursor ahead of the numbers is refused, one behind the record is expired', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 4));
+  const ahead = { step: STEP, after: 9, waitMs: 0 };
+  const refused = await drive(stage.clock, owner.desk.samples(ahead));
+  expect(refused._unsafeUnwrapErr().code).toBe('cursor_invalid');
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  await trainer.ask(stage, owner);
+  await driveUntil(stage.clock, () => owner.desk.history.openSteps().length === 0);
+  const back = await drive(stage.clock, owner.desk.samples({ ...ahead, after: 0 }));
+  expect(back._unsafeUnwrapErr().code).toBe('step_expired');
+  const end = await drive(stage.clock, owner.desk.samples({ ...ahead, after: 4 }));
+  expect(end._unsafeUnwrap()).toMatchObject({ done: true, next: 4, samples: [] });
+});
+
+test('a broken answer goes on from the tokens received, with a true label', async () => {
+  const stage = new Stage({ targets: 2 });
+  const owner = await stage.startOwner();
+  const trainer = new TestTrainer();
+  const [id = ''] = listIds(1, 1);
+  stage.runner.breakAfter.set(id as never, 12);
+  await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 1)));
+  await driveUntil(stage.clock, () => stage.runner.ran.length === 2);
+  await stage.publish(owner, 1);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  const [taken] = trainer.taken;
+  expect(taken?.run.segments).toMatchObject([
+    { version: 0, fromToken: 0 },
+    { version: 1, toToken: 20 },
+  ]);
+  expect(findLabelFaults(trainer.taken.map(({ run }) => run))).toEqual([]);
+});
+
+test('the label checker fails when the label comes from the order', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 2));
+  stage.clock.advance(100);
+  await stage.publish(owner, 1);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  const runs = trainer.taken.map(({ run }) => run);
+  expect(findLabelFaults(runs)).toEqual([]);
+  const ordered = runs.map(({ tokens }) => ({
+    tokens,
+    segments: [{ version: 1 as WeightVersion, fromToken: 0, toToken: tokens.length }],
+  }));
+  expect(findLabelFaults(ordered)).not.toEqual([]);
+});
+
+test.each([
+  { versions: 1, stale: 0 },
+  { versions: 1000, stale: 4 },
+])('with a bound of $versions versions, $stale of 4 are over one', async ({ versions, stale }) => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 4), { versions });
+  await driveUntil(stage.clock, () => isWhole(owner));
+  await stage.publish(owner, 1);
+  await stage.publish(owner, 2);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  expect(findCursorFaults(trainer.taken, trainer.voids, listIds(1, 4))).toEqual([]);
+  expect(findStaleFaults(trainer.taken, 1)).toHaveLength(stale);
+});
+
+test('a version published between numbering and the answer makes the number void', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 2), { versions: 0 });
+  await driveUntil(stage.clock, () => isWhole(owner));
+  await stage.publish(owner, 1);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  expect(trainer.voids).toEqual([1, 2]);
+  expect(trainer.taken.map(({ number }) => number)).toEqual([3, 4]);
+});
+
+test.each([
+  { policy: new NoHedging(), hedged: false },
+  { policy: new TailHedging({ slowdown: 1.5, leastMs: 100 }), hedged: true },
+])('a straggler is overtaken only with hedging, its loser never delivered', async (given) => {
+  const stage = new Stage({ targets: 6 });
+  const [slow] = stage.runner.targets;
+  if (slow) slow.tokenMs = 400;
+  const owner = await stage.startOwner({ stragglers: given.policy });
+  const trainer = new TestTrainer();
+  await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 10)));
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  expect(findCursorFaults(trainer.taken, trainer.voids, listIds(1, 10))).toEqual([]);
+  expect(stage.runner.cancelled.length > 0).toBe(given.hedged);
+  const kept = stage.runner.targets.reduce((sum, { store }) => sum + store.size, 0);
+  expect(kept).toBeLessThanOrEqual(10);
+});
+
+test('a trainer that vanishes leaves nothing behind', async () => {
+  const { owner, stage } = await begin(makeGroups(2, 20, 40), {
+    bounds: { idleMs: 5000, heldBytes: 4000, running: 8 },
+  });
+  let mostRunning = 0;
+  await driveUntil(stage.clock, () => {
+    const running = stage.runner.targets.reduce((sum, target) => sum + target.running, 0);
+    mostRunning = Math.max(mostRunning, running);
+    return owner.desk.history.openSteps().length === 0;
+  });
+  await driveUntil(stage.clock, () => stage.runner.targets.every(({ running }) => running === 0));
+  expect(mostRunning).toBe(8);
+  expect(stage.runner.ran.length).toBeLessThan(40);
+  expect(stage.runner.targets.map(({ store }) => store.size)).toEqual([0, 0, 0]);
+  const late = await drive(stage.clock, owner.desk.samples({ step: STEP, after: 0, waitMs: 0 }));
+  expect(late._unsafeUnwrapErr().code).toBe('step_expired');
+});
+
+test('a payload lost with its owner and its agent gets another number', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 3));
+  await driveUntil(stage.clock, () => isWhole(owner));
+  await owner.kill();
+  stage.runner.crash(0);
+  const next = await stage.startOwner();
+  while (!trainer.isDone) await trainer.ask(stage, next);
+  expect(trainer.voids).toHaveLength(1);
+  expect(findCursorFaults(trainer.taken, trainer.voids, listIds(1, 3))).toEqual([]);
+});
+
+function isWhole(owner: TestOwner): boolean {
+  const step = owner.desk.history.findStep(STEP);
+  return isSome(step) && step.value.isWhole;
+}
--- /dev/null
+++ b/packages/rollout/test/segments.test.ts
@@ -0,0 +1,92 @@
+/** Labels from an engine's lines. */
+import type { WeightVersion } from '@hibiscushill/base';
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+
+import { SegmentCollector, isLabelled } from '../src';
+import { encode } from './support';
+
+const LINES = [
+  { i: 0, t: 'brine', v: 3 },
+  { i: 1, t: 'rind', v: 3 },
+  { i: 2, t: 'smoke', v: 4 },
+];
+const DONE = { done: true, tokens: 3 };
+
+function collect(lines: readonly object[], collector = new SegmentCollector()): SegmentCollector {
+  lines.forEach((line) => collector.push(encode(line)));
+  return collector;
+}
+
+test('segments name the version that the engine reported for each token', () => {
+  expect(
+    collect([...LINES, DONE])
+      .finish()
+      ._unsafeUnwrap(),
+  ).toMatchInlineSnapshot(`
+    {
+      "segments": [
+        {
+          "fromToken": 0,
+          "toToken": 2,
+          "version": 3,
+        },
+        {
+          "fromToken": 2,
+          "toToken": 3,
+          "version": 4,
+        },
+      ],
+      "tokens": [
+        "brine",
+        "rind",
+        "smoke",
+      ],
+    }
+  `);
+});
+
+test('a line may be cut anywhere, also inside a character', () => {
+  const text = [
+    { i: 0, t: 'pişmiş 🧀', v: 1 },
+    { done: true, tokens: 1 },
+  ].map(encode);
+  const bytes = Buffer.concat(text);
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 0, max: bytes.length })), (cuts) => {
+      const collector = new SegmentCollector();
+      const places = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+      places.slice(1).forEach((end, index) => collector.push(bytes.subarray(places[index], end)));
+      expect(collector.finish()._unsafeUnwrap().tokens).toEqual(['pişmiş 🧀']);
+    }),
+    { seed: 11, numRuns: 100 },
+  );
+});
+
+test.each([
+  ['without its last line', LINES],
+  ['with a token missing', [LINES[0], LINES[2], DONE]],
+  ['with a token twice', [LINES[0], LINES[0], LINES[1], LINES[2], DONE]],
+  ['with its last token missing', [LINES[0], LINES[1], DONE]],
+  ['without a version', [{ i: 0, t: 'brine' }, DONE]],
+  ['with a line after the last', [...LINES, DONE, { i: 3, t: 'x', v: 4 }]],
+])('an answer %s is refused', (_, lines) => {
+  const finished = collect(lines as object[]).finish();
+  expect(finished._unsafeUnwrapErr().code).toBe('answer_broken');
+});
+
+test('a resumed answer keeps the label of the tokens received before', () => {
+  const first = collect(LINES.slice(0, 2));
+  const second = new SegmentCollector({ resume: first.received });
+  const run = collect([LINES[2] as object, DONE], second)
+    .finish()
+    ._unsafeUnwrap();
+  expect(run.segments.map(({ version }) => version)).toEqual([3, 4]);
+  expect(isLabelled(run)).toBe(true);
+});
+
+test('a label with a hole is no label', () => {
+  const version = 1 as WeightVersion;
+  const segments = [{ version, fromToken: 1, toToken: 2 }];
+  expect(isLabelled({ tokens: ['a', 'b'], segments })).toBe(false);
+});
--- a/packages/rollout/test/support.ts
+++ b/packages/rollout/test/support.ts
@@ -17,11 +17,18 @@
   type WeightVersion,
 } from '@hibiscushill/base';
 import { Trainer } from '@hibiscushill/config';
-import { LogTail, MemoryLog, appendOnce, type LogRecord } from '@hibiscushill/platform';
-import { none, some, type Option } from 'fp-ts/Option';
+import {
+  LogTail,
+  MemoryLog,
+  appendOnce,
+  type AppendEvent,
+  type LogRecord,
+} from '@hibiscushill/platform';
+import { isSome, none, some, type Option } from 'fp-ts/Option';
 import { ResultAsync, err, ok, type Result } from 'neverthrow';
 
 import {
+  RECORD_KINDS,
   SampleRunner,
   TrainerDesk,
   type ClaimReader,
@@ -235,9 +242,19 @@
 
   trainer = TRAINER;
 
+  /** How many records of step owners have landed. */
+  counted = 0;
+
+  /** How many numbering records are on their way without an answer. */
+  lateNumbers = 0;
+
+  /** The kinds of the records that landed without an answer. */
+  readonly landed: string[] = [];
+
   constructor(options: { seed?: number; targets?: number } = {}) {
     const random = new RandomSource(options.seed ?? 1);
-    this.log = new MemoryLog({ clock: this.clock, random });
+    const onAppend = (event: AppendEvent): void => this.#note(event);
+    this.log = new MemoryLog({ clock: this.clock, random, onAppend });
     this.runner = new FakeRunner(this.clock, options.targets ?? 3);
   }
 
@@ -277,6 +294,13 @@
     return { desk, tail, kill };
   }
 
+  #note({ kinds, outcome }: AppendEvent): void {
+    const isNumbering = kinds.includes(RECORD_KINDS.numbers);
+    if (outcome === 'late' && isNumbering) this.lateNumbers += 1;
+    if (outcome === 'landed') this.landed.push(...kinds);
+    if (outcome === 'answered' || outcome === 'lost' || outcome === 'landed') this.counted += 1;
+  }
+
   /** Publishes a version and puts it onto every target. */
   async publish(owner: TestOwner, version: number): Promise<void> {
     const published = owner.desk.publish(version as WeightVersion, 'store');
@@ -305,6 +329,11 @@
 
   isDone = false;
 
+  /** Whether the owner knows the step. */
+  ready(owner: TestOwner): boolean {
+    return isSome(owner.desk.history.findStep(STEP));
+  }
+
   /** Asks once and takes what comes. */
   async ask(stage: Stage, owner: TestOwner, waitMs = 1000): Promise<void> {
     const query = { step: STEP, after: this.cursor, waitMs };
