--- a/packages/rollout/src/swapper.ts
+++ b/packages/rollout/src/swapper.ts
@@ -181,7 +181,6 @@
     const wasOut = state.isOut;
     state.end(served, served === order.version);
     this.#count(swapped.isErr() ? swapped.error : undefined, state, wasOut);
-    this.tick();
   }
 
   #count(failure: Failure | undefined, state: TargetSwap, wasOut: boolean): void {
--- a/packages/rollout/test/owner-crash.test.ts
+++ b/packages/rollout/test/owner-crash.test.ts
@@ -1,5 +1,4 @@
 /** Owners that die or are cut off at any record, with answers lost and appends landing late. */
-import type { WeightVersion } from '@hibiscushill/base';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 
