rollout: Label resumed answers at the agent; drop the engine client

The agent reads a resumed answer from its first new token on, so its collector refused every such answer as out of order. It takes the first index from the request's body now, which encodeGenerate writes for both sides.

--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -1,8 +1,8 @@
 /** Trainers, steps, samples and weight versions. */
-export { SegmentCollector, digestRun, isLabelled } from './segments';
+export { SegmentCollector, digestRun, isLabelled, readResumeFrom } from './segments';
 export type { Segment, SegmentCollectorOptions, TokenRun } from './segments';
 
-export { SampleRunner, nameSample } from './samples';
+export { SampleRunner, encodeGenerate, nameSample } from './samples';
 export type { PayloadRef, RunOptions, SampleAnswer, SampleSpec } from './samples';
 
 export { RECORD_KINDS, SampleGroup } from './records';
@@ -38,9 +38,6 @@
 
 export { EngineWeights, WeightSource } from './engine-weights';
 export type { LoadOrder } from './engine-weights';
-export { HttpEngineWeights } from './http-engine-weights';
-export type { HttpEngineOptions } from './http-engine-weights';
-export { StoreWeights } from './store-weights';
 export { WeightApplier } from './applier';
 export type { ServedVersion, WeightApplierDeps } from './applier';
 export { WeightOrders } from './weight-orders';
--- a/packages/rollout/src/samples.ts
+++ b/packages/rollout/src/samples.ts
@@ -103,3 +103,22 @@
 ): SampleId {
   return `${trainer}/${step}/${group}/${index}` as SampleId;
 }
+
+/**
+ * Writes the body of the request that makes a sample at an engine.
+ *
+ * @param spec - the sample, with the tokens to go on from
+ * @returns the body for the engine's `POST /generate`
+ */
+export function encodeGenerate(spec: SampleSpec): Uint8Array {
+  const { maxTokens, priority, prompt, resume, seed, trainer } = spec;
+  const body = {
+    prompt,
+    maxTokens,
+    priority,
+    trainer,
+    ...(seed === undefined ? {} : { seed }),
+    ...(resume ? { resume: { tokens: resume.tokens, from: resume.tokens.length } } : {}),
+  };
+  return new TextEncoder().encode(JSON.stringify(body));
+}
--- a/packages/rollout/src/segments.ts
+++ b/packages/rollout/src/segments.ts
@@ -22,6 +22,8 @@
 export interface SegmentCollectorOptions {
   /** The tokens that an earlier, broken answer already gave. */
   readonly resume?: TokenRun;
+  /** The first token's index, for a reader of a resumed answer that lacks the tokens before it. */
+  readonly from?: number;
   /** The longest line that is taken, in bytes. */
   readonly maxLineBytes?: number;
 }
@@ -36,12 +38,16 @@
 
 const DoneLine = z.object({ done: z.literal(true), tokens: z.number().int().min(0) });
 
+const ResumeBody = z.object({ resume: z.object({ from: z.number().int().min(0) }) });
+
 /** Builds a sample's label from the lines of an engine's answer, and from nothing else. */
 export class SegmentCollector {
   readonly #tokens: string[];
 
   readonly #segments: Segment[];
 
+  readonly #from: number;
+
   readonly #decoder = new TextDecoder();
 
   readonly #maxLineBytes: number;
@@ -56,6 +62,7 @@
   constructor(options: SegmentCollectorOptions = {}) {
     this.#tokens = [...(options.resume?.tokens ?? [])];
     this.#segments = [...(options.resume?.segments ?? [])];
+    this.#from = options.from ?? 0;
     this.#maxLineBytes = options.maxLineBytes ?? DEFAULT_MAX_LINE_BYTES;
   }
 
@@ -93,6 +100,10 @@
     return ok(this.received);
   }
 
+  get #next(): number {
+    return this.#from + this.#tokens.length;
+  }
+
   #take(line: string): Result<void, Failure> {
     if (line === '') return ok(undefined);
     if (this.#done) return this.#fail('a line follows the last one');
@@ -101,13 +112,13 @@
     if (token.success) return this.#takeToken(token.data);
     const done = DoneLine.safeParse(json);
     if (!done.success) return this.#fail('a line names no token, version or end');
-    if (done.data.tokens !== this.#tokens.length) return this.#fail('tokens are missing');
+    if (done.data.tokens !== this.#next) return this.#fail('tokens are missing');
     this.#done = true;
     return ok(undefined);
   }
 
   #takeToken(line: z.infer<typeof TokenLine>): Result<void, Failure> {
-    if (line.i !== this.#tokens.length) return this.#fail(`token ${line.i} is out of order`);
+    if (line.i !== this.#next) return this.#fail(`token ${line.i} is out of order`);
     this.#tokens.push(line.t);
     const version = line.v as WeightVersion;
     const last = this.#segments.at(-1);
@@ -125,6 +136,17 @@
   }
 }
 
+/**
+ * Reads from the body of a request to an engine with which token its answer begins.
+ *
+ * @param body - the body that `encodeGenerate` made
+ * @returns the index of the first token that the engine will send
+ */
+export function readResumeFrom(body: Uint8Array): number {
+  const parsed = ResumeBody.safeParse(parseJson(new TextDecoder().decode(body)));
+  return parsed.success ? parsed.data.resume.from : 0;
+}
+
 /**
  * Digests tokens and their label, so that two answers can be told apart.
  *
--- a/packages/rollout/test/routes.test.ts
+++ b/packages/rollout/test/routes.test.ts
@@ -1,27 +1,18 @@
-/** The trainer API over HTTP, and an engine's weights interface. */
-import {
-  Metrics,
-  createFailure,
-  type Failure,
-  type FencingNumber,
-  type RecordId,
-  type TrainerId,
-  type WeightVersion,
-} from '@hibiscushill/base';
+/** The trainer API over HTTP. */
+import { Metrics, createFailure, type Failure } from '@hibiscushill/base';
 import fastify from 'fastify';
 import { none, some, type Option } from 'fp-ts/Option';
 import { err, ok, okAsync, type ResultAsync } from 'neverthrow';
 import { expect, test } from 'vitest';
 
 import {
-  HttpEngineWeights,
   OwnerDirectory,
   TrainerService,
   registerTrainerRoutes,
   type TrainerCall,
   type TrainerReply,
 } from '../src';
-import { Stage, TRAINER, driveUntil, type TestOwner } from './support';
+import { Stage, driveUntil, type TestOwner } from './support';
 
 /** Knows one owner and keeps what is passed on to it. */
 class FakeOwners extends OwnerDirectory {
@@ -111,29 +102,3 @@
   expect(refused.headers['retry-after']).toBe('1');
   expect(refused.json()).toMatchObject({ name: 'not_owner', run: 'not-run' });
 });
-
-test.each([
-  [200, undefined],
-  [409, 'fencing_stale'],
-  [500, 'swap_failed'],
-  [undefined, 'outcome_unknown'],
-])('an engine that answers %s to an order is understood', async (status, code) => {
-  const app = fastify();
-  app.post('/weights', async (_, res) =>
-    status === undefined ? res.hijack() : res.code(status).send({}),
-  );
-  app.get('/weights', async () => ({ version: 4, highestFencing: 2, loading: false }));
-  const url = await app.listen({ host: '127.0.0.1', port: 0 });
-  const engine = new HttpEngineWeights({ url, loadMs: 200 });
-  const loaded = await engine.load({
-    order: 'o' as RecordId,
-    fencing: 2 as FencingNumber,
-    trainer: TRAINER.name,
-    version: 4 as WeightVersion,
-    source: 's',
-  });
-  expect(loaded.isErr() ? loaded.error.code : undefined).toBe(code);
-  const state = await engine.state(TRAINER.name);
-  expect(state._unsafeUnwrap()).toEqual({ version: 4, highestFencing: 2, loading: false });
-  await app.close();
-});
--- a/packages/rollout/test/segments.test.ts
+++ b/packages/rollout/test/segments.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 
-import { SegmentCollector, isLabelled } from '../src';
+import { SegmentCollector, encodeGenerate, isLabelled, readResumeFrom } from '../src';
 import { encode } from './support';
 
 const LINES = [
@@ -90,3 +90,13 @@
   const segments = [{ version, fromToken: 1, toToken: 2 }];
   expect(isLabelled({ tokens: ['a', 'b'], segments })).toBe(false);
 });
+
+test('a reader without the tokens before labels the rest under their own indices', () => {
+  const resume = { tokens: ['brine', 'rind'], segments: [] };
+  const spec = { prompt: 'p', maxTokens: 3, priority: 0, trainer: 'rinds', resume } as never;
+  const collector = new SegmentCollector({ from: readResumeFrom(encodeGenerate(spec)) });
+  const run = collect([LINES[2] as object, DONE], collector)
+    .finish()
+    ._unsafeUnwrap();
+  expect(run.segments).toEqual([{ version: 4, fromToken: 2, toToken: 3 }]);
+});
