--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -1,8 +1,8 @@
 /** Trainers, steps, samples and weight versions. */
-export { SegmentCollector, digestRun, isLabelled } from './segments';
+export { SegmentCollector, digestRun, isLabelled, readResumeFrom } from './segments';
 export type { Segment, SegmentCollectorOptions, TokenRun } from './segments';
 
-export { SampleRunner, nameSample } from './samples';
+export { SampleRunner, encodeGenerate, nameSample } from './samples';
 export type { PayloadRef, RunOptions, SampleAnswer, SampleSpec } from './samples';
 
 export { RECORD_KINDS, SampleGroup } from './records';
@@ -10,6 +10,7 @@
 
 export { TrainerHistory } from './history';
 export type { ClaimReader } from './history';
+export { DutyClaims, nameDuty, nameStream, readFencing } from './fencing';
 export { StepHistory } from './step-history';
 
 export { isStale, measureStaleness } from './staleness';
