--- a/packages/config/src/offer.ts
+++ b/packages/config/src/offer.ts
@@ -86,6 +86,19 @@
   }
 }
 
+/**
+ * Tells whether an offer starts from a version of the receiver.
+ *
+ * @param bytes - what was received
+ * @returns false for a whole state and for what can't be read
+ */
+export function hasDeltas(bytes: Uint8Array): boolean {
+  return parseOffer(bytes).match(
+    (offer) => offer.deltas !== undefined,
+    () => false,
+  );
+}
+
 function resolveOffer(
   offer: OfferPayload,
   current: ConfigState | undefined,
--- a/packages/config/src/sync.ts
+++ b/packages/config/src/sync.ts
@@ -3,6 +3,7 @@
 import type { ConfigOffer } from '@hibiscushill/protocol';
 import { isSome } from 'fp-ts/Option';
 
+import { hasDeltas } from './offer';
 import type { ConfigStore } from './store';
 
 const log = createLogger('config.sync');
@@ -50,13 +51,15 @@
   }
 
   /**
-   * Takes an offer in, and asks for the whole when it doesn't fit.
+   * Takes an offer in. When deltas don't fit, asks for the whole; a whole that is refused is not
+   * asked for again, since the same would come.
    *
    * @param peer - the connection
    * @param offer - the offer
    */
   take(peer: ConfigPeer, offer: ConfigOffer): void {
     this.#store.takeOffer(offer.update).mapErr((failure) => {
+      if (!hasDeltas(offer.update)) return;
       log.warn('The whole configuration is asked for.', { detail: failure.detail });
       this.#pull(peer, WHOLE);
     });
--- a/packages/ctl/src/commands.ts
+++ b/packages/ctl/src/commands.ts
@@ -5,6 +5,7 @@
 import type { ExitName } from './exit-codes';
 import { createKeyCommand, withdrawKey } from './key-commands';
 import { type Report, createReport } from './report';
+import { restore } from './restore-command';
 import { showStatus } from './status-command';
 
 /** An option of one command. */
@@ -66,6 +67,13 @@
     exits: ['invalid', 'conflict', 'missing', ...READ_EXITS],
     run: (context, [id = '']) => findOutcome(context, id),
   },
+  {
+    usage: 'restore <dir>',
+    doc: 'Founds a configuration on a log that was trimmed and has lost it.',
+    options: [],
+    exits: ['invalid', 'conflict', 'unknown', 'unavailable'],
+    run: (context, [directory = '']) => restore(context, directory),
+  },
   {
     usage: 'key create <team>',
     doc: 'Makes a key and prints its declaration, and its secret this once. Changes nothing.',
--- a/packages/ctl/src/config-reader.ts
+++ b/packages/ctl/src/config-reader.ts
@@ -44,6 +44,11 @@
     return this.#history.isAttached;
   }
 
+  /** The offset to read next; undefined before the first reading. */
+  get next(): Offset | undefined {
+    return this.#next;
+  }
+
   /** Whether records were dropped between two readings, before they were read here. */
   get hasGap(): boolean {
     return this.#hasGap;
--- a/packages/ctl/src/declaration-commands.ts
+++ b/packages/ctl/src/declaration-commands.ts
@@ -119,11 +119,12 @@
     default:
       return createReport('detached', [
         'The log was trimmed and holds no snapshot that can be relied on.',
-        'A running entry writes one; see docs/operating/configuration.md.',
+        'A running entry writes one; where none runs, use restore.',
       ]);
   }
 }
 
-function reportProblems(problems: readonly FileProblem[]): Report {
+/** Tells the problems of files. */
+export function reportProblems(problems: readonly FileProblem[]): Report {
   return createReport('invalid', problems.map(formatProblem), { problems });
 }
--- a/packages/ctl/test/cli.test.ts
+++ b/packages/ctl/test/cli.test.ts
@@ -76,6 +76,18 @@
     expect((await runOn(log, 'key withdraw', 'k1')).data).toMatchObject({ changed: false });
   });
 
+  it('restores a configuration only where the log has lost it, and once', async () => {
+    const log = new MemoryLog({ clock });
+    await runOn(log, 'apply', EXAMPLE);
+    expect((await runOn(log, 'restore', EXAMPLE)).exit).toBe('conflict');
+    log.trim('config', 1);
+    expect((await runOn(log, 'plan', EXAMPLE)).exit).toBe('detached');
+    const both = [runOn(log, 'restore', EXAMPLE), runOn(log, 'restore', EXAMPLE)];
+    const restored = await Promise.all(both);
+    expect(restored.map((report) => report.data)).toContainEqual({ version: 0 });
+    expect((await runOn(log, 'plan', EXAMPLE)).lines[0]).toBe('Nothing differs.');
+  });
+
   it('has its page made from the tables', () => {
     if (process.env.UPDATE_DOCS === '1') writeFileSync(PAGE, createCliPage());
     expect(existsSync(PAGE) && readFileSync(PAGE, 'utf8')).toBe(createCliPage());
