--- a/packages/rollout/src/swapper.ts
+++ b/packages/rollout/src/swapper.ts
@@ -181,7 +181,6 @@
     const wasOut = state.isOut;
     state.end(served, served === order.version);
     this.#count(swapped.isErr() ? swapped.error : undefined, state, wasOut);
-    this.tick();
   }
 
   #count(failure: Failure | undefined, state: TargetSwap, wasOut: boolean): void {
@@ -193,7 +192,8 @@
 
   #order(target: TargetId, version: WeightVersion, fencing: FencingNumber): WeightOrder {
     const { trainer } = this.#deps;
-    const order = `${trainer}/${version}/${fencing}/${target}` as RecordId;
+    const { tries } = this.#state(target);
+    const order = `${trainer}/${version}/${fencing}/${target}/${tries}` as RecordId;
     return { order, fencing, trainer, version };
   }
 
