--- a/packages/fakes/src/server.ts
+++ b/packages/fakes/src/server.ts
@@ -85,7 +85,7 @@
     return collectSettings(standIns);
   });
   app.get(`${prefix}/faults`, async () => collectSettings(standIns));
-  app.get(`${prefix}/history`, async (_req, reply) => sendHistory(reply, standIns));
+  app.get(`${prefix}/history`, (_req, reply) => sendHistory(reply, standIns));
   app.delete(`${prefix}/history`, async () => {
     standIns.forEach((standIn) => standIn.history.clear());
     return {};
@@ -96,11 +96,12 @@
   return Object.fromEntries(standIns.map((standIn) => [standIn.name, standIn.settings]));
 }
 
-async function sendHistory(reply: FastifyReply, standIns: readonly AnyStandIn[]): Promise<string> {
+function sendHistory(reply: FastifyReply, standIns: readonly AnyStandIn[]): string {
   const lines = standIns.flatMap((standIn) =>
     standIn.report().map((entry) => line(standIn, entry)),
   );
-  await reply.type('application/x-ndjson');
+  // A reply is a promise of its own end, so it must not be awaited before it is sent.
+  void reply.type('application/x-ndjson');
   return lines.join('');
 }
 
