Wire usage and target orders into the entry

Cause: finished requests were billed nowhere, and nothing ordered targets. Change: every entry logs what it served; an agent holds each item until an entry says that the log has it; the holder of the duty closes and reports windows; the holder of each zone's duty orders targets from demand that entries exchange.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -142,11 +142,17 @@
     }
   }
 
-  /** Hands usage that has waited too long to any entry. */
+  /** Asks an entry to log all usage that is held. */
+  hurryUsage(): void {
+    this.#usage.hurry();
+    this.handOverUsage();
+  }
+
+  /** Asks any entry to log the usage that has waited long enough. */
   handOverUsage(): void {
     const [session] = [...this.#sessions].filter((open) => open.isOpen);
     if (session === undefined) return;
-    const items = this.#usage.takeDue(HAND_OVER_ITEMS);
+    const items = this.#usage.takeDue(session.hello.incarnation, HAND_OVER_ITEMS);
     if (items.length > 0) session.send({ $case: 'usage', value: { items } });
   }
 
@@ -198,8 +204,8 @@
       case 'configPull':
         this.#sync.answer(session, frame.value.have);
         break;
-      case 'usageSettled':
-        this.#usage.settle(frame.value.requests);
+      case 'usageAck':
+        this.#usage.settle(session.hello.incarnation, frame.value.throughSeq);
         break;
       case 'weightOrder':
         void this.#options.weights.takeOrder(session, frame.value);
@@ -351,7 +357,6 @@
   }
 
   #giveUpEntry(entry: string): void {
-    this.#usage.hurry(entry);
     for (const attempt of this.#ledger.attempts) {
       if (attempt.entry === entry && attempt.settledAt === undefined) this.#abandon(attempt);
     }
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -101,7 +101,7 @@
 
   async function settleUsage(deadline: number): Promise<void> {
     while (agent.heldUsage > 0 && server.sessions.length > 0 && clock.mono() < deadline) {
-      agent.handOverUsage();
+      agent.hurryUsage();
       await clock.sleep(DRAIN_POLL_MS);
     }
   }
--- a/packages/agent/src/usage-hold.ts
+++ b/packages/agent/src/usage-hold.ts
@@ -1,4 +1,4 @@
-/** Usage that the agent keeps until the log holds it. */
+/** Usage that the agent holds until the log has it. */
 import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
 import type { UsageItem } from '@hibiscushill/protocol';
 
@@ -6,21 +6,27 @@
 
 interface HeldItem {
   readonly item: UsageItem;
-  readonly entry: string;
-  /** When the item is handed to another entry, if its own hasn't settled it. */
-  handOverAt: MonoTime;
+  /** The incarnation of the entry that was asked last to log it. */
+  readonly givenTo: string;
+  /** When an entry is asked, or asked again. */
+  readonly dueAt: MonoTime;
 }
 
-/** How long an entry has to settle usage before another entry is asked, in milliseconds. */
-const HAND_OVER_MS: Millis = 15_000;
+/** How long an entry's own batch may take to reach the log, in milliseconds. */
+const FIRST_WAIT_MS: Millis = 8_000;
+
+/** How long an entry that was asked may take, in milliseconds. */
+const NEXT_WAIT_MS: Millis = 15_000;
 
 const MAX_ITEMS = 50_000;
 
-/** Usage items by request, each with the entry that is to log it. */
+/** Usage items by their number. */
 export class UsageHold {
   readonly #clock: Clock;
 
-  readonly #items = new Map<string, HeldItem>();
+  readonly #items = new Map<number, HeldItem>();
+
+  #lastSeq = 0;
 
   /** @param clock - the process's clock */
   constructor(clock: Clock) {
@@ -38,55 +44,57 @@
   }
 
   /**
-   * Holds the usage of an attempt that has ended.
+   * Holds the usage of an attempt whose answer was delivered.
    *
    * @param attempt - the attempt
    */
   add(attempt: Attempt): void {
-    const { run } = attempt;
+    const { run, tokens } = attempt;
     if (!run.billable) return;
-    const item = {
-      request: run.request,
-      team: run.team,
-      service: run.service,
-      tokens: attempt.tokens,
-      finishedMs: this.#clock.wall(),
-    };
-    const { entry } = attempt;
-    this.#items.set(run.request, { item, entry, handOverAt: this.#later() });
+    this.#lastSeq += 1;
+    const { request, team, service } = run;
+    const finishedMs = this.#clock.wall();
+    const item = { seq: this.#lastSeq, request, team, service, tokens, finishedMs };
+    this.#items.set(item.seq, { item, givenTo: '', dueAt: this.#later(FIRST_WAIT_MS) });
   }
 
-  /** Forgets usage that the log holds. */
-  settle(requests: readonly string[]): void {
-    requests.forEach((request) => this.#items.delete(request));
+  /**
+   * Forgets what the log has.
+   *
+   * @param entry - the incarnation of the entry that says so
+   * @param throughSeq - the number up to which it has logged what it was given
+   */
+  settle(entry: string, throughSeq: number): void {
+    for (const [seq, held] of this.#items) {
+      if (seq > throughSeq) return;
+      if (held.givenTo === entry) this.#items.delete(seq);
+    }
   }
 
-  /** Hands the usage of an entry that is gone over at the next call of `takeDue`. */
-  hurry(entry: string): void {
+  /** Makes every item due now. */
+  hurry(): void {
     const now = this.#clock.mono();
-    for (const held of this.#items.values()) if (held.entry === entry) held.handOverAt = now;
+    this.#items.forEach((held, seq) => {
+      if (held.givenTo === '') this.#items.set(seq, { ...held, dueAt: now });
+    });
   }
 
   /**
-   * Lists what has waited too long, and gives it another wait.
+   * Takes the items that an entry has to be asked about.
    *
+   * @param entry - the incarnation of the entry that will be asked
    * @param most - the most items
-   * @returns the items to hand to any entry
+   * @returns the items, which stay held
    */
-  takeDue(most: number): UsageItem[] {
+  takeDue(entry: string, most: number): UsageItem[] {
     const now = this.#clock.mono();
-    const due: UsageItem[] = [];
-    for (const held of this.#items.values()) {
-      if (due.length >= most) break;
-      if (held.handOverAt <= now) {
-        due.push(held.item);
-        held.handOverAt = this.#later();
-      }
-    }
-    return due;
+    const due = [...this.#items.values()].filter((held) => held.dueAt <= now).slice(0, most);
+    const dueAt = this.#later(NEXT_WAIT_MS);
+    due.forEach(({ item }) => this.#items.set(item.seq, { item, givenTo: entry, dueAt }));
+    return due.map((held) => held.item);
   }
 
-  #later(): MonoTime {
-    return (this.#clock.mono() + HAND_OVER_MS) as MonoTime;
+  #later(ms: Millis): MonoTime {
+    return (this.#clock.mono() + ms) as MonoTime;
   }
 }
--- a/packages/entry/src/agent-pool.ts
+++ b/packages/entry/src/agent-pool.ts
@@ -17,6 +17,7 @@
   readonly createPeer: (address: string) => AgentPeer;
   readonly createEjector: () => Ejector;
   readonly onEntries: (entries: readonly ListedInstance[]) => void;
+  readonly onClosed: (peer: AgentPeer) => void;
 }
 
 /** Links to agents, opened and closed as the list changes. */
@@ -140,5 +141,6 @@
   #close(peer: AgentPeer): void {
     peer.close();
     this.#peers.delete(peer.address);
+    this.#options.onClosed(peer);
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,6 +3,7 @@
   type Clock,
   type Failure,
   type InstanceId,
+  type TargetId,
   type TrainerId,
   createFailure,
   type IncarnationId,
@@ -20,6 +21,7 @@
   type Trainer,
   checkKey,
 } from '@hibiscushill/config';
+import { DemandSummary } from '@hibiscushill/control';
 import { HttpLog, InstanceList, type ListedInstance } from '@hibiscushill/platform';
 import { TrainerService, registerTrainerRoutes } from '@hibiscushill/rollout';
 import { isSome, none } from 'fp-ts/Option';
@@ -42,7 +44,10 @@
 import { createServer } from './server';
 import { registerServiceRoutes } from './service-routes';
 import type { EntrySettings } from './settings';
-import { registerStatusRoutes } from './status';
+import { type DutyStatus, registerStatusRoutes } from './status';
+import { EntryDemandMeter } from './demand-meter';
+import { ScalingDuty } from './scaling-duty';
+import { UsageDuty } from './usage-duty';
 
 const log = createLogger('entry');
 
@@ -89,6 +94,14 @@
 
   readonly #trainers: TrainerDesks;
 
+  readonly #usage: UsageDuty;
+
+  readonly #scaling: ScalingDuty;
+
+  readonly #demand = new DemandSummary();
+
+  readonly #meter: EntryDemandMeter;
+
   readonly #owners: EntryOwners;
 
   readonly #trainerService: TrainerService;
@@ -125,6 +138,13 @@
     });
     this.#open = new OpenRequests(this.#config);
     this.#policies = createPolicies(cfg, clock, this.#random);
+    this.#meter = new EntryDemandMeter(clock, {
+      entry: cfg.instance,
+      incarnation: this.#incarnation,
+      zone: cfg.zone,
+    });
+    this.#usage = this.#createUsage();
+    this.#scaling = this.#createScaling();
     this.#exchange = new PeerExchange({
       clock,
       entry: cfg.instance,
@@ -132,6 +152,8 @@
       config: this.#config,
       shares: this.#policies.shares,
       addresses: cfg.peers,
+      demand: this.#demand,
+      meter: this.#meter,
     });
     this.#peerServer = new PeerServer({
       exchange: (message) => this.#exchange.answer(message),
@@ -184,7 +206,7 @@
       await this.#clock.sleep(DRAIN_POLL_MS);
     }
     this.#stopping.abort();
-    await this.#trainers.stop();
+    await Promise.all([this.#trainers.stop(), this.#scaling.stop(), this.#usage.stop()]);
     await this.#follower.stop();
     this.#pool.close();
     this.#peerServer.close();
@@ -199,6 +221,8 @@
     const inner = `${hostOf(innerListen)}:${innerPort}`;
     this.#exchange.setOwnAddress(inner);
     this.#follower.start();
+    this.#usage.start();
+    this.#scaling.start();
     void this.#pool.run(this.#stopping.signal);
     void this.#exchange.run(this.#stopping.signal);
     const url = await this.#app.listen({ host: hostOf(listen), port: portOf(listen) });
@@ -217,6 +241,7 @@
       createPeer: (address) => this.#createPeer(address, hash),
       createEjector: () => new Ejector({ clock: this.#clock }),
       onEntries: (entries) => this.#setEntries(entries),
+      onClosed: (peer) => this.#usage.forget(peer),
     });
   }
 
@@ -232,7 +257,7 @@
         incarnation: this.#incarnation,
         configVersion: this.#config.version,
       }),
-      onUsage: () => undefined,
+      onUsage: (items, from) => this.#usage.takeBatch(items, from),
       onWeightReport: (report) => this.#weightOrders.take(report),
       onLoad: (peer) => this.#noteLoad(peer),
       onSilent: (peer) => this.#noteSilence(peer),
@@ -267,7 +292,8 @@
       open: this.#open,
       estimateWait: (service) => this.#waits.estimate(this.#pool.targets(service)),
       isStopping,
-      onServed: () => undefined,
+      demand: this.#meter,
+      onServed: (served) => this.#usage.add(served),
     });
     registerStatusRoutes(app, {
       cfg: this.#cfg,
@@ -277,7 +303,7 @@
       open: this.#open,
       metrics: this.#metrics,
       isStopping,
-      duties: () => this.#trainers.duties,
+      duties: () => this.#listDuties(),
       swaps: () => this.#trainers.swaps,
     });
     registerTrainerRoutes(app, {
@@ -303,11 +329,52 @@
           dispatcher: this.#dispatcher,
           pool: this.#pool,
           service,
-          onServed: () => undefined,
+          onServed: (served) => this.#usage.add(served),
         }),
     });
   }
 
+  #createUsage(): UsageDuty {
+    return new UsageDuty({
+      clock: this.#clock,
+      metrics: this.#metrics,
+      log: this.#log,
+      usageUrl: this.#cfg.usageUrl,
+      entry: this.#cfg.instance,
+      incarnation: this.#incarnation,
+      candidates: () => this.#candidates,
+      windowMs: this.#cfg.usageWindowMs,
+      graceMs: this.#cfg.usageGraceMs,
+    });
+  }
+
+  #createScaling(): ScalingDuty {
+    return new ScalingDuty({
+      clock: this.#clock,
+      metrics: this.#metrics,
+      log: this.#log,
+      ordersUrl: this.#cfg.ordersUrl,
+      config: this.#config,
+      entry: this.#cfg.instance,
+      incarnation: this.#incarnation,
+      candidates: () => this.#candidates,
+      demand: this.#demand,
+      runningWork: (target) => this.#runningWork(target),
+    });
+  }
+
+  #runningWork(target: TargetId): number {
+    const peer = this.#pool.peers.find((known) => known.target === target);
+    return peer === undefined ? 0 : peer.load.running + peer.load.queued;
+  }
+
+  #listDuties(): DutyStatus[] {
+    const held = [this.#usage.keeper, ...this.#scaling.keepers].flatMap(({ duty, lease }) =>
+      isSome(lease) ? [{ duty, fencing: lease.value.fencing }] : [],
+    );
+    return [...held, ...this.#trainers.duties];
+  }
+
   #setEntries(entries: readonly ListedInstance[]): void {
     const live = entries.filter((entry) => entry.state === 'live');
     this.#candidates = live.map((entry) => entry.id);
--- a/packages/entry/src/peer-exchange.ts
+++ b/packages/entry/src/peer-exchange.ts
@@ -8,12 +8,15 @@
   TeamId,
 } from '@hibiscushill/base';
 import type { ConfigStore } from '@hibiscushill/config';
+import type { DemandSummary } from '@hibiscushill/control';
 import type { ListedInstance } from '@hibiscushill/platform';
 import { PeerClient, type PeerMessage } from '@hibiscushill/protocol';
 import type { ShareTracker } from '@hibiscushill/routing';
 import { isSome } from 'fp-ts/Option';
 import { z } from 'zod';
 
+import type { EntryDemandMeter } from './demand-meter';
+
 const PERIOD_MS: Millis = 500;
 
 const Summary = z.object({ demands: z.array(z.object({ team: z.string(), part: z.number() })) });
@@ -26,6 +29,8 @@
   readonly config: ConfigStore;
   readonly shares: ShareTracker;
   readonly addresses: readonly string[];
+  readonly demand: DemandSummary;
+  readonly meter: EntryDemandMeter;
 }
 
 interface KnownPeer {
@@ -78,6 +83,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#options.demand.merge(this.#options.meter.take(), this.#options.clock.mono());
       await Promise.all([...this.#peers.values()].map((peer) => this.#exchange(peer)));
       await this.#options.clock.sleep(PERIOD_MS, signal);
     }
@@ -107,6 +113,7 @@
     if (message.config !== undefined) config.takeOffer(message.config.update);
     if (askedAt !== undefined) config.confirm(message.configVersion, askedAt);
     const demands = parseDemands(message.summary);
+    this.#options.demand.decode(message.demand, clock.mono());
     shares.takePeerSummary(message.entry as InstanceId, demands, clock.mono());
   }
 
@@ -121,6 +128,7 @@
       configVersion: config.version,
       config: update && { version: config.version, update },
       summary: Buffer.from(JSON.stringify({ demands })),
+      demand: Buffer.from(this.#options.demand.encode(this.#options.clock.mono())),
     };
   }
 
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -25,6 +25,7 @@
 import { type Result, err, ok } from 'neverthrow';
 
 import { isKeyExposed, toTargetHeaders } from './caller-headers';
+import type { EntryDemandMeter } from './demand-meter';
 import type { DispatchRequest, OpenAnswer, RequestDispatcher } from './dispatcher';
 import type { OpenRequests } from './open-requests';
 import { sendRefusal } from './refusal';
@@ -45,6 +46,7 @@
   readonly admission: AdmissionPolicy;
   readonly dispatcher: RequestDispatcher;
   readonly open: OpenRequests;
+  readonly demand: EntryDemandMeter;
   readonly estimateWait: (service: ServiceId) => Millis;
   readonly isStopping: () => boolean;
   /** Told of a request that was answered whole. */
@@ -112,6 +114,7 @@
       return;
     }
     const admission = this.#admit(arrival.value);
+    if (admission.isErr()) this.#deps.demand.recordRefusal(arrival.value.service.name);
     if (admission.isErr()) this.#refuse(req, res, admission.error);
     else await this.#serve(req, res, arrival.value, admission.value);
   }
@@ -167,6 +170,9 @@
     const onClose = (): void => ending.abort();
     res.raw.once('close', onClose);
     this.#deps.open.add({ id: arrival.id, key: arrival.key, cut });
+    const { demand, clock } = this.#deps;
+    const startedAt = clock.mono();
+    demand.recordStart(arrival.service.name);
     let tokens = 0;
     try {
       const answer = await this.#deps.dispatcher.dispatch(
@@ -181,6 +187,7 @@
       }
       tokens = await this.#forward(req, res, arrival, answer.value, ending.signal);
     } finally {
+      demand.recordEnd(arrival.service.name, clock.mono() - startedAt, tokens);
       this.#deps.open.remove(arrival.id);
       admission?.settle(tokens);
       admission?.release();
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -71,6 +71,18 @@
     z.enum(['quantile', 'none']),
     'quantile',
   ),
+  usageWindowMs: createSetting(
+    'usage-window-ms',
+    'Length of a usage window, in milliseconds; the same at every entry.',
+    integerText(1000, 86_400_000),
+    '3600000',
+  ),
+  usageGraceMs: createSetting(
+    'usage-grace-ms',
+    'How long after its end a usage window is closed, in milliseconds.',
+    integerText(0, 3_600_000),
+    '30000',
+  ),
   drainMs: createSetting(
     'drain-ms',
     'Longest time that a shutdown waits for open requests, in milliseconds.',
