--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -163,6 +163,48 @@
   expect(late._unsafeUnwrapErr().code).toBe('step_expired');
 });
 
+test.each([{ owner: 'the same owner' }, { owner: 'a new owner' }])(
+  'samples that were taken but not confirmed are not made again by $owner',
+  async ({ owner: who }) => {
+    const { owner, stage, trainer } = await begin(makeGroups(1, 4), { versions: 0 });
+    await driveUntil(stage.clock, () => isWhole(owner));
+    await trainer.ask(stage, owner);
+    expect(trainer.taken).toHaveLength(4);
+    await stage.publish(owner, 1);
+    if (who === 'a new owner') await owner.kill();
+    const next = who === 'a new owner' ? await stage.startOwner() : owner;
+    const later = stage.clock.mono() + 3000;
+    await driveUntil(stage.clock, () => stage.clock.mono() > later);
+    trainer.isDone = false;
+    while (!trainer.isDone) await trainer.ask(stage, next);
+    expect(findCursorFaults(trainer.taken, trainer.voids, listIds(1, 4))).toEqual([]);
+  },
+);
+
+test('a sample that waited unread and is too old when asked again gets another number', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 2), { versions: 0 });
+  await driveUntil(stage.clock, () => isWhole(owner));
+  const lost = new TestTrainer();
+  await lost.ask(stage, owner);
+  await stage.publish(owner, 1);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  expect(trainer.voids).toEqual([1, 2]);
+  expect(findStaleFaults(trainer.taken, 0)).toEqual([]);
+});
+
+test('an agent that is out of reach for a while does not void its payloads', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 3));
+  await driveUntil(stage.clock, () => isWhole(owner));
+  await owner.kill();
+  const next = await stage.startOwner();
+  stage.runner.isCutOff = true;
+  await trainer.ask(stage, next, 3000);
+  expect(trainer.taken).toEqual([]);
+  stage.runner.isCutOff = false;
+  while (!trainer.isDone) await trainer.ask(stage, next);
+  expect(trainer.voids).toEqual([]);
+});
+
 test('a payload lost with its owner and its agent gets another number', async () => {
   const { owner, stage, trainer } = await begin(makeGroups(1, 3));
   await driveUntil(stage.clock, () => isWhole(owner));
--- a/packages/rollout/test/support.ts
+++ b/packages/rollout/test/support.ts
@@ -25,7 +25,7 @@
   type LogRecord,
 } from '@hibiscushill/platform';
 import { isSome, none, some, type Option } from 'fp-ts/Option';
-import { ResultAsync, err, ok, type Result } from 'neverthrow';
+import { ResultAsync, err, errAsync, ok, type Result } from 'neverthrow';
 
 import {
   RECORD_KINDS,
@@ -115,6 +115,9 @@
 
   readonly cancelled: SampleId[] = [];
 
+  /** Payloads can't be read for now. */
+  isCutOff = false;
+
   readonly #clock: ManualClock;
 
   /** Breaks the next answer of a sample after so many tokens. */
@@ -152,6 +155,7 @@
   }
 
   override fetch(payload: PayloadRef): ResultAsync<TokenRun, Failure> {
+    if (this.isCutOff) return errAsync(createFailure('target_down'));
     const run = this.#find(payload.target)?.store.get(payload.attempt);
     return new ResultAsync(
       Promise.resolve(run ? ok(run) : err(createFailure('incarnation_stale'))),
