rollout: Void only numbers that the trainer can't have taken

A released number is void only when the trainer asks again with a cursor before it and the sample is too old or its payload gone: its cursor is the proof that it doesn't have it. A new owner takes every number it finds for released. Ruled out: recording each release before it is written (an append for each answer, on the path).

A record that doesn't count while its claim stands begins the term anew from the log; before, the desk would have gone on answering empty pages.

--- a/packages/rollout/src/desk.ts
+++ b/packages/rollout/src/desk.ts
@@ -232,11 +232,21 @@
       trainer,
       excluded: excluded ?? (() => new Set()),
       bounds: this.#bounds,
+      onRefused: () => this.#restart(claim),
     });
     this.#term = some(term);
     term.start();
   }
 
+  /** Begins a term anew from the history, if its claim still stands. */
+  #restart(claim: FencingNumber): void {
+    if (!isSome(this.#term) || this.#term.value.claim !== claim) return;
+    this.#deps.metrics.count('rollout.term.restarted');
+    this.#term.value.stop();
+    this.#term = none;
+    this.#followClaim();
+  }
+
   #journal(claim: FencingNumber): Journal {
     const { append, clock, metrics } = this.#deps;
     const history = this.#history;
--- a/packages/rollout/src/journal.ts
+++ b/packages/rollout/src/journal.ts
@@ -53,7 +53,8 @@
    * @param kind - the record's kind
    * @param body - the record without its claim
    * @param signal - gives up waiting; the record may still land
-   * @returns nothing once the record counts; `fencing_stale` when it was read and ignored
+   * @returns nothing once the record counts; `fencing_stale` when it was read and ignored,
+   *   `platform_refused` when the log won't take it
    */
   async write(kind: string, body: object, signal: AbortSignal): Promise<Result<void, Failure>> {
     const id = createId<RecordId>();
@@ -62,6 +63,8 @@
       const appended = await this.#deps.append([record]);
       if (appended.isOk()) {
         await this.#readBack(id, signal);
+      } else if (appended.error.code === 'platform_refused') {
+        return err(appended.error);
       } else {
         this.#deps.metrics.countRetry(appended.error.code);
         await this.#deps.changes.wait(this.#deps.clock, RETRY_MS, signal);
--- a/packages/rollout/src/owner-term.ts
+++ b/packages/rollout/src/owner-term.ts
@@ -72,8 +72,12 @@
   readonly trainer: () => Trainer;
   readonly excluded: () => ReadonlySet<TargetId>;
   readonly bounds: OwnerBounds;
+  /** Called when a record of this term didn't count: the term must be begun anew or ended. */
+  readonly onRefused: () => void;
 }
 
+const REFUSED_MS: Millis = 1000;
+
 /** Runs a trainer's steps under one claim. */
 export class OwnerTerm {
   readonly claim: FencingNumber;
@@ -225,22 +229,33 @@
       const sample = run.history.at(number);
       return isSome(sample) ? [sample.value.id] : [];
     });
-    const written = await this.#deps.journal.write(RECORD_KINDS.numbers, body, this.signal);
+    const written = await this.#write(RECORD_KINDS.numbers, body);
     if (written.isOk()) run.recorded(body, lost);
-    else this.stop();
+  }
+
+  /** Writes a record that must not be given up; when it doesn't count, neither does this term. */
+  async #write(kind: string, body: object): Promise<Result<void, Failure>> {
+    const { clock, journal, metrics } = this.#deps;
+    for (;;) {
+      const written = await journal.write(kind, body, this.signal);
+      if (written.isErr() && written.error.code === 'platform_refused') {
+        metrics.countRetry(written.error.code);
+        await clock.sleep(REFUSED_MS, this.signal);
+        continue;
+      }
+      if (written.isErr() && !this.signal.aborted) this.#deps.onRefused();
+      return written;
+    }
   }
 
   async #finish(run: StepRun): Promise<void> {
-    const { bounds, clock, journal, metrics } = this.#deps;
+    const { bounds, clock, metrics } = this.#deps;
     const isExpired = clock.mono() - run.touchedAt > bounds.idleMs;
     if (this.signal.aborted || !(run.isFinished || isExpired)) return;
     const { step } = run.history;
     const reason = run.isFinished ? 'complete' : 'expired';
-    const written = await journal.write(RECORD_KINDS.done, { step, reason }, this.signal);
-    if (written.isErr()) {
-      this.stop();
-      return;
-    }
+    const written = await this.#write(RECORD_KINDS.done, { step, reason });
+    if (written.isErr()) return;
     metrics.count(`rollout.step.${reason}`);
     this.#runs.delete(step);
     run.end();
--- a/packages/rollout/src/step-run.ts
+++ b/packages/rollout/src/step-run.ts
@@ -1,7 +1,8 @@
 /** The owner's work on one open step. */
-import type { MonoTime, SampleId } from '@hibiscushill/base';
+import { createFailure, type MonoTime, type SampleId } from '@hibiscushill/base';
 import type { Trainer } from '@hibiscushill/config';
 import { isNone, isSome } from 'fp-ts/Option';
+import { err } from 'neverthrow';
 
 import type { NumberedSample, NumbersRecord } from './records';
 import { SampleJob, type SampleJobDeps } from './sample-job';
@@ -10,6 +11,7 @@
 import { digestRun, measureRun } from './segments';
 import type { StepHistory } from './step-history';
 import type { StragglerPolicy } from './stragglers';
+import { UnreadablePayloads } from './unreadable-payloads';
 
 /** One step in the hands of its owner. */
 export class StepRun {
@@ -24,6 +26,11 @@
 
   #cursor: number;
 
+  /** The highest number that a trainer may have: only its cursor tells whether it has. */
+  #releasedUpTo: number;
+
+  readonly #unreadable: UnreadablePayloads;
+
   #forgotten: number;
 
   #hedges = 0;
@@ -39,8 +46,10 @@
     this.history = history;
     this.#deps = deps;
     this.#cursor = history.passed;
+    this.#releasedUpTo = history.last;
     this.#forgotten = history.passed;
     this.#touchedAt = deps.clock.mono();
+    this.#unreadable = new UnreadablePayloads(deps.clock, deps.metrics);
     this.#jobs = new Map(
       listSpecs(history, trainer).map((spec) => [
         spec.sample,
@@ -108,10 +117,10 @@
     if (chosen.length > 0) this.#deps.metrics.count('rollout.hedged', chosen.length);
   }
 
-  /** Gives up what has become too old and was not released. */
+  /** Gives up what has become too old and was never released. */
   dropStale(): void {
     this.#jobs.forEach((job) => job.dropStale());
-    for (let number = this.#cursor + 1; number <= this.history.last; number += 1) {
+    for (let number = this.#releasedUpTo + 1; number <= this.history.last; number += 1) {
       const sample = this.history.at(number);
       if (isSome(sample) && this.#deps.isStale(sample.value.segments)) this.#voids.add(number);
     }
@@ -164,7 +173,7 @@
 
   /**
    * Reads payloads again that this process doesn't hold. A payload that is gone makes its number
-   * void.
+   * void; one whose agent is out of reach is asked for again for a while.
    *
    * @param after - the trainer's cursor
    * @param bounds - the page's bounds
@@ -205,6 +214,7 @@
       }
       next = number;
     }
+    this.#releasedUpTo = Math.max(this.#releasedUpTo, next);
     const { history } = this;
     const done = history.isWhole && this.#voids.size === 0 && next >= history.last;
     return { step: history.step, samples, voids, next, done, total: history.total };
@@ -218,9 +228,12 @@
     });
   }
 
-  /** Cancels what runs; payloads stay where they are, for the next owner. */
+  /** Cancels what runs; payloads that may have a number stay where they are, for the next owner. */
   stop(): void {
-    this.#jobs.forEach((job) => job.cancel());
+    this.#jobs.forEach((job) => {
+      job.cancel();
+      if (job.phase === 'made') job.forget();
+    });
   }
 
   #count(phase: SampleJob['phase']): number {
@@ -243,13 +256,18 @@
   async #load(number: number, sample: NumberedSample): Promise<void> {
     const job = this.#jobs.get(sample.id);
     if (!job || isSome(job.answer)) return;
-    const run = sample.payload.whole ? await this.#deps.runner.fetch(sample.payload) : undefined;
+    const run = sample.payload.whole
+      ? await this.#deps.runner.fetch(sample.payload)
+      : err(createFailure('incarnation_stale'));
     if (isSome(job.answer) || job.phase !== 'numbered') return;
-    if (run?.isOk() && digestRun(run.value) === sample.digest) {
+    const isSame = run.isOk() && digestRun(run.value) === sample.digest;
+    if (isSame) {
+      this.#unreadable.read(number);
       job.hold({ ...run.value, payload: sample.payload });
       return;
     }
-    this.#deps.metrics.count('rollout.payload_lost');
+    const failure = run.isErr() ? run.error : createFailure('answer_broken');
+    if (!this.#unreadable.isLost(number, failure)) return;
     this.#voids.add(number);
     this.#deps.onChange();
   }
--- a/packages/rollout/test/owner-crash.test.ts
+++ b/packages/rollout/test/owner-crash.test.ts
@@ -29,6 +29,8 @@
   readonly loseAnswers: number;
   readonly landLate: number;
   readonly publishEvery: number;
+  /** How long the trainer works on a page before it asks with its new cursor. */
+  readonly thinkMs: number;
 }
 
 const plans: fc.Arbitrary<Plan> = fc.record({
@@ -38,6 +40,7 @@
   loseAnswers: fc.constantFrom(0, 0.3),
   landLate: fc.constantFrom(0, 0.3),
   publishEvery: fc.constantFrom(0, 300, 700),
+  thinkMs: fc.constantFrom(0, 300, 1500),
 });
 
 /** Runs one step under a plan, with a trainer that only follows its cursor. */
@@ -73,6 +76,8 @@
       await stage.publish(owner, version);
     }
     await trainer.ask(stage, owner, 50);
+    const until = stage.clock.mono() + plan.thinkMs;
+    await driveUntil(stage.clock, () => stage.clock.mono() >= until);
   }
   const faults = [
     ...findCursorFaults(trainer.taken, trainer.voids, listIds(GROUPS, COUNT)),
