--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -145,6 +145,27 @@
   expect(kept).toBeLessThanOrEqual(10);
 });
 
+test('a loser that ends in spite of its cancel is let go of and changes nothing', async () => {
+  const stage = new Stage({ targets: 6 });
+  stage.runner.ignoresCancel = true;
+  const [slow] = stage.runner.targets;
+  if (slow) slow.tokenMs = 400;
+  const owner = await stage.startOwner({ stragglers: new TailHedging({ leastMs: 100 }) });
+  const trainer = new TestTrainer();
+  await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 10)));
+  await driveUntil(stage.clock, () => isWhole(owner));
+  const query = { step: STEP, after: 0, waitMs: 0 };
+  const first = await drive(stage.clock, owner.desk.samples(query));
+  await driveUntil(stage.clock, () => stage.runner.targets.every(({ running }) => running === 0));
+  const second = await drive(stage.clock, owner.desk.samples(query));
+  expect(second._unsafeUnwrap()).toEqual(first._unsafeUnwrap());
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  await trainer.ask(stage, owner);
+  await driveUntil(stage.clock, () => owner.desk.history.openSteps().length === 0);
+  expect(stage.runner.ran.length).toBeGreaterThan(10);
+  expect(stage.runner.targets.map(({ store }) => store.size)).toEqual([0, 0, 0, 0, 0, 0]);
+});
+
 test('a trainer that vanishes leaves nothing behind', async () => {
   const { owner, stage } = await begin(makeGroups(2, 20, 40), {
     bounds: { idleMs: 5000, heldBytes: 4000, running: 8 },
--- a/packages/rollout/test/owner-crash.test.ts
+++ b/packages/rollout/test/owner-crash.test.ts
@@ -70,9 +70,9 @@
     }
     // A trainer that got no answer creates its step again.
     if (!trainer.ready(owner)) await drive(stage.clock, create());
-    if (plan.publishEvery > 0 && stage.clock.mono() >= publishAt && version < 6) {
+    while (plan.publishEvery > 0 && stage.clock.mono() >= publishAt && version < 8) {
       version += 1;
-      publishAt = stage.clock.mono() + plan.publishEvery;
+      publishAt += plan.publishEvery;
       await stage.publish(owner, version);
     }
     await trainer.ask(stage, owner, 50);
--- a/packages/rollout/test/support.ts
+++ b/packages/rollout/test/support.ts
@@ -115,6 +115,9 @@
 
   readonly cancelled: SampleId[] = [];
 
+  /** A cancelled try ends as if it had not been cancelled. */
+  ignoresCancel = false;
+
   /** Payloads can't be read for now. */
   isCutOff = false;
 
@@ -193,8 +196,8 @@
     const limit = this.breakAfter.get(spec.sample) ?? Infinity;
     this.breakAfter.delete(spec.sample);
     for (let i = from; i < spec.maxTokens; i += 1) {
-      await this.#clock.sleep(target.tokenMs, signal);
-      if (signal.aborted) {
+      await this.#clock.sleep(target.tokenMs, this.ignoresCancel ? undefined : signal);
+      if (signal.aborted && !this.ignoresCancel) {
         this.cancelled.push(spec.sample);
         return err(createFailure('cancelled', { run: 'may-have-run' }));
       }
