--- a/packages/rollout/test/support.ts
+++ b/packages/rollout/test/support.ts
@@ -25,7 +25,7 @@
   type LogRecord,
 } from '@hibiscushill/platform';
 import { isSome, none, some, type Option } from 'fp-ts/Option';
-import { ResultAsync, err, ok, type Result } from 'neverthrow';
+import { ResultAsync, err, errAsync, ok, type Result } from 'neverthrow';
 
 import {
   RECORD_KINDS,
@@ -115,6 +115,12 @@
 
   readonly cancelled: SampleId[] = [];
 
+  /** A cancelled try ends as if it had not been cancelled. */
+  ignoresCancel = false;
+
+  /** Payloads can't be read for now. */
+  isCutOff = false;
+
   readonly #clock: ManualClock;
 
   /** Breaks the next answer of a sample after so many tokens. */
@@ -152,6 +158,7 @@
   }
 
   override fetch(payload: PayloadRef): ResultAsync<TokenRun, Failure> {
+    if (this.isCutOff) return errAsync(createFailure('target_down'));
     const run = this.#find(payload.target)?.store.get(payload.attempt);
     return new ResultAsync(
       Promise.resolve(run ? ok(run) : err(createFailure('incarnation_stale'))),
@@ -189,8 +196,8 @@
     const limit = this.breakAfter.get(spec.sample) ?? Infinity;
     this.breakAfter.delete(spec.sample);
     for (let i = from; i < spec.maxTokens; i += 1) {
-      await this.#clock.sleep(target.tokenMs, signal);
-      if (signal.aborted) {
+      await this.#clock.sleep(target.tokenMs, this.ignoresCancel ? undefined : signal);
+      if (signal.aborted && !this.ignoresCancel) {
         this.cancelled.push(spec.sample);
         return err(createFailure('cancelled', { run: 'may-have-run' }));
       }
