--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -69,9 +69,10 @@
   const texts = toTexts(options);
   const settings = readSettings('hibiscusctl', CTL_SETTINGS, toArgv(texts), streams.env);
   if (settings.isErr()) return createReport('usage', settings.error.map(formatSettingProblem));
-  const { platformUrl, logUrl, entries, waitMs } = settings.value;
+  const { platformUrl, logUrl, entries, waitMs, usageWindowMs } = settings.value;
   const log = new HttpLog({ url: logUrl === '' ? platformUrl : logUrl });
-  const context: CommandContext = { log, clock: new SystemClock(), waitMs, entries };
+  const clock = new SystemClock();
+  const context: CommandContext = { log, clock, waitMs, usageWindowMs, entries };
   try {
     return await command.run(context, args, texts);
   } finally {
--- a/packages/ctl/src/commands.ts
+++ b/packages/ctl/src/commands.ts
@@ -7,6 +7,7 @@
 import { type Report, createReport } from './report';
 import { restore } from './restore-command';
 import { showStatus } from './status-command';
+import { showUsage } from './usage-command';
 
 /** An option of one command. */
 export interface CommandOption {
@@ -95,6 +96,13 @@
     exits: ['partial'],
     run: (context) => showStatus(context),
   },
+  {
+    usage: 'usage',
+    doc: 'Shows the closed usage windows that the log still holds, and which are reported.',
+    options: [],
+    exits: ['unavailable'],
+    run: (context) => showUsage(context),
+  },
   {
     usage: 'explain <code>',
     doc: 'Explains a result code by its number or name.',
--- a/packages/ctl/src/settings.ts
+++ b/packages/ctl/src/settings.ts
@@ -9,6 +9,7 @@
 import { z } from 'zod';
 
 const MOST_WAIT_MS = 600_000;
+const DAY_MS = 86_400_000;
 
 /** Settings that every command takes. */
 export const CTL_SETTINGS = {
@@ -36,6 +37,12 @@
     integerText(1, MOST_WAIT_MS),
     '30000',
   ),
+  usageWindowMs: createSetting(
+    'usage-window-ms',
+    'Length of a usage window; the same as at the entries.',
+    integerText(1, DAY_MS),
+    '60000',
+  ),
 } as const satisfies SettingTable;
 
 /** Writes a refused setting as text. */
--- a/packages/ctl/src/status-command.ts
+++ b/packages/ctl/src/status-command.ts
@@ -47,7 +47,7 @@
   const isWhole = read.isOk() && duties.isOk() && asked.every(({ answer }) => answer.isOk());
   const rows = duties.unwrapOr([]);
   const lines = [
-    `Version in force: ${version ?? 'unknown'}`,
+    `Version in force: ${describeVersion(version)}`,
     ...formatProcesses(asked, version),
     ...formatDuties(rows),
   ];
@@ -114,3 +114,8 @@
   const cells = rows.map((row) => [row.duty, row.holder, `${row.fencing}`, row.state]);
   return formatTable([['DUTY', 'HOLDER', 'FENCING', 'STATE'], ...cells]);
 }
+
+function describeVersion(version: number | undefined): string {
+  if (version === undefined) return 'unknown';
+  return version < 0 ? 'none' : `${version}`;
+}
--- a/packages/ctl/test/cli.test.ts
+++ b/packages/ctl/test/cli.test.ts
@@ -1,6 +1,6 @@
 import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 
-import { SystemClock } from '@hibiscushill/base';
+import { ManualClock, type RecordId, SystemClock, createId } from '@hibiscushill/base';
 import { Declarations, hashSecret, loadDeclarations } from '@hibiscushill/config';
 import { MemoryLog } from '@hibiscushill/platform';
 import { describe, expect, it } from 'vitest';
@@ -29,7 +29,7 @@
 function runOn(log: MemoryLog, usage: string, ...args: string[]) {
   const command = COMMANDS.find((each) => each.usage.startsWith(usage));
   if (command === undefined) throw new Error(`no command ${usage}`);
-  return command.run({ log, clock, waitMs: 2_000, entries: [] }, args, {});
+  return command.run({ log, clock, waitMs: 2_000, usageWindowMs: 60_000, entries: [] }, args, {});
 }
 
 describe('hibiscusctl', () => {
@@ -88,6 +88,24 @@
     expect((await runOn(log, 'plan', EXAMPLE)).lines[0]).toBe('Nothing differs.');
   });
 
+  it('shows who holds a duty, and of the closes only those of the present claim', async () => {
+    const log = new MemoryLog({ clock: new ManualClock(1_000) });
+    const figures = [{ team: 'members', service: 'sales-desk', requests: 3, tokens: 0 }];
+    const claim = { duty: 'usage', holder: 'entry-a', incarnation: 'i1', after: -1, through: 0 };
+    const close = { window: 0, claim: 0, through: 1, figures, late: [] };
+    const records = [
+      ['duty.claim', claim],
+      ['usage.close', { ...close, claim: -1, through: 0, figures: [] }],
+      ['usage.close', close],
+      ['usage.close', { ...close, figures: [] }],
+      ['usage.reported', { window: 0, claim: 0 }],
+      ['usage.close', { ...close, window: 60_000 }],
+    ].map(([kind, payload]) => ({ id: createId<RecordId>(), kind: String(kind), payload }));
+    await log.append('usage', records);
+    expect((await runOn(log, 'status')).lines).toMatchSnapshot();
+    expect((await runOn(log, 'usage')).lines).toMatchSnapshot();
+  });
+
   it('has its page made from the tables', () => {
     if (process.env.UPDATE_DOCS === '1') writeFileSync(PAGE, createCliPage());
     expect(existsSync(PAGE) && readFileSync(PAGE, 'utf8')).toBe(createCliPage());
