--- a/packages/control/src/duty/keeper.ts
+++ b/packages/control/src/duty/keeper.ts
@@ -4,7 +4,6 @@
   type Failure,
   type IncarnationId,
   type InstanceId,
-  type Metrics,
   type Millis,
   type MonoTime,
   type Offset,
@@ -14,51 +13,20 @@
   createLogger,
   createRandomSource,
 } from '@hibiscushill/base';
-import type { Log, LogRecord, LogTail, NewRecord, StreamName } from '@hibiscushill/platform';
+import type { LogRecord, NewRecord } from '@hibiscushill/platform';
 import * as O from 'fp-ts/Option';
 import type { Result } from 'neverthrow';
 
 import { ClaimHistory, type PresentClaim } from './history';
 import { Lease } from './lease';
-import { rankCandidates } from './rank';
+import { type DutyKeeperOptions, type DutyTimes, pickSpread, readTimes } from './keeper-options';
 import { DUTY_KINDS, type DutyName, NO_CLAIM } from './records';
 import { FoldReader } from './reading';
 
-const TTL_MS = 7_500;
-const ORDER_DEADLINE_MS = 1_000;
-const DRIFT_MS = 500;
-const RANK_STEP_MS = 250;
-const RANKS = 8;
 const RETRY_MS = 500;
 const HISTORY_RECORDS = 2_000;
 const RENEWALS_PER_TTL = 3;
 
-/** How a duty is kept. */
-export interface DutyKeeperOptions {
-  readonly log: Log;
-  /** A tail of the stream; the keeper subscribes to it and doesn't start it. */
-  readonly tail: LogTail;
-  readonly stream: StreamName;
-  readonly duty: DutyName;
-  readonly holder: InstanceId;
-  readonly incarnation: IncarnationId;
-  readonly clock: Clock;
-  /** How long a lease runs from before its claim or renewal was sent. */
-  readonly ttlMs?: Millis;
-  /** The longest deadline of an order under the lease. */
-  readonly orderDeadlineMs?: Millis;
-  /** How far two processes' clocks may drift apart over a lease. */
-  readonly driftMs?: Millis;
-  /** The period of the renewals; a third of the lease when left out. */
-  readonly renewMs?: Millis;
-  /** The step between challengers by their rank. */
-  readonly rankStepMs?: Millis;
-  /** The instances that may claim the duty; an empty list spreads claims at random. */
-  readonly candidates?: () => readonly InstanceId[];
-  readonly random?: RandomSource;
-  readonly metrics?: Metrics;
-}
-
 type Unsubscribe = () => void;
 
 /** Keeps one duty for one process: at any time, at most one process's lease covers an order. */
@@ -77,9 +45,7 @@
 
   readonly #logger;
 
-  readonly #ttlMs: Millis;
-
-  readonly #patienceMs: Millis;
+  readonly #times: DutyTimes;
 
   readonly #stopping = new AbortController();
 
@@ -118,9 +84,7 @@
       this.#apply(record),
     );
     this.#logger = createLogger(`control.duty.${options.duty}`);
-    this.#ttlMs = options.ttlMs ?? TTL_MS;
-    const orderMs = options.orderDeadlineMs ?? ORDER_DEADLINE_MS;
-    this.#patienceMs = this.#ttlMs + orderMs + (options.driftMs ?? DRIFT_MS);
+    this.#times = readTimes(options);
   }
 
   /** The lease, while it holds. */
@@ -174,7 +138,7 @@
     this.#lose('released');
     if (lease && this.#history.isPresent(lease.fencing)) {
       const body = { ...this.#author(), claim: lease.fencing };
-      await this.#append(DUTY_KINDS.release, body, this.#ttlMs);
+      await this.#append(DUTY_KINDS.release, body, this.#times.ttlMs);
     }
     this.#unsubscribe?.();
   }
@@ -189,21 +153,15 @@
   }
 
   async #readHistory(): Promise<void> {
-    const { log, stream } = this.#options;
     while (!this.#stopping.signal.aborted) {
-      const bounds = await log.bounds(stream);
-      if (bounds.isOk()) {
-        const { first, next } = bounds.value;
-        const start = Math.max(first, next - HISTORY_RECORDS) as Offset;
-        if (this.#history.next === undefined) this.#history.startAt(start);
-        if (await this.#catchUp()) return;
-      }
+      const isStarted = await this.#reader.startNearEnd(HISTORY_RECORDS);
+      if (isStarted && (await this.#catchUp())) return;
       await this.#pause(this.#jitter(RETRY_MS));
     }
   }
 
   async #hold(lease: Lease): Promise<void> {
-    const renewMs = this.#options.renewMs ?? this.#ttlMs / RENEWALS_PER_TTL;
+    const { renewMs } = this.#times;
     const body = { ...this.#author(), claim: lease.fencing };
     const leftMs = lease.endsAt - this.#clock.mono();
     if (leftMs > 0) {
@@ -221,7 +179,7 @@
       await this.#pause(waitMs);
       return;
     }
-    await this.#pause(this.#spreadMs());
+    await this.#pause(pickSpread(this.#options, this.#random));
     if (this.#stopping.signal.aborted || this.#lease) return;
     // What is decided here must rest on a read that was sent after the wait.
     const isRead = await this.#catchUp();
@@ -232,11 +190,8 @@
   async #claim(): Promise<void> {
     if (this.#stopping.signal.aborted || this.#lease) return;
     const after = this.#history.present?.claim ?? NO_CLAIM;
-    const isSent = await this.#append(
-      DUTY_KINDS.claim,
-      { ...this.#author(), after },
-      this.#ttlMs / 2,
-    );
+    const body = { ...this.#author(), after };
+    const isSent = await this.#append(DUTY_KINDS.claim, body, this.#times.ttlMs / 2);
     const isRead = await this.#catchUp();
     if (!this.#lease && !(isSent && isRead)) await this.#pause(this.#jitter(RETRY_MS));
   }
@@ -251,12 +206,9 @@
     const now = this.#clock.mono();
     const { present } = this.#history;
     if (present?.claim === NO_CLAIM || present?.isReleased) return now;
-    if (present && this.#isMine(present) && this.#hadLease) return now;
-    return ((this.#heardAt ?? now) + this.#patienceMs) as MonoTime;
-  }
-
-  #isMine(present: PresentClaim): boolean {
-    return present.incarnation === this.#options.incarnation;
+    const isMine = present?.incarnation === this.#options.incarnation;
+    if (isMine && this.#hadLease) return now;
+    return ((this.#heardAt ?? now) + this.#times.patienceMs) as MonoTime;
   }
 
   #apply(record: LogRecord): void {
@@ -280,7 +232,7 @@
     if (this.#lease) this.#lose('superseded');
     const claim = this.#history.present?.claim;
     if (sentAt === undefined || claim === undefined) return;
-    const lease = new Lease(claim, (sentAt + this.#ttlMs) as MonoTime, this.#clock);
+    const lease = new Lease(claim, (sentAt + this.#times.ttlMs) as MonoTime, this.#clock);
     // A claim that landed late gives no lease: the process waits as any challenger does.
     if (!lease.covers(0)) return;
     this.#lease = lease;
@@ -292,7 +244,7 @@
 
   // A renewal read after the lease's end doesn't bring it back: a challenger may have begun.
   #takeRenewal(sentAt: MonoTime): void {
-    const isHeld = this.#lease?.extend((sentAt + this.#ttlMs) as MonoTime) ?? false;
+    const isHeld = this.#lease?.extend((sentAt + this.#times.ttlMs) as MonoTime) ?? false;
     if (!isHeld) this.#options.metrics?.count('duty.renewed_late');
   }
 
@@ -333,15 +285,6 @@
     this.#heardAt = this.#clock.mono();
   }
 
-  #spreadMs(): Millis {
-    const { holder, candidates, rankStepMs = RANK_STEP_MS } = this.#options;
-    const ranked = rankCandidates(this.duty, candidates?.() ?? []);
-    const rank = ranked.indexOf(holder);
-    if (rank < 0) return this.#random.fraction() * rankStepMs * RANKS;
-    if (rank >= RANKS) return (RANKS + this.#random.fraction() * RANKS) * rankStepMs;
-    return rank * rankStepMs;
-  }
-
   #jitter(ms: Millis): Millis {
     return ms * (0.5 + this.#random.fraction());
   }
--- a/packages/control/src/duty/reading.ts
+++ b/packages/control/src/duty/reading.ts
@@ -52,6 +52,22 @@
     else void this.readToEnd();
   }
 
+  /**
+   * Starts the fold a number of records before the stream's end, unless it has started.
+   *
+   * @param records - how many records to go back at most
+   * @returns false when the log didn't answer
+   */
+  async startNearEnd(records: number): Promise<boolean> {
+    const bounds = await this.#log.bounds(this.#stream);
+    if (bounds.isErr()) return false;
+    const { first, next } = bounds.value;
+    if (this.#fold.next === undefined) {
+      this.#fold.startAt(Math.max(first, next - records) as Offset);
+    }
+    return true;
+  }
+
   /**
    * Reads what the fold hasn't taken yet, until a read finds nothing more.
    *
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -3,7 +3,7 @@
 export type { DutyVerdict, PresentClaim } from './duty/history';
 
 export { DutyKeeper } from './duty/keeper';
-export type { DutyKeeperOptions } from './duty/keeper';
+export type { DutyKeeperOptions, DutyTimes } from './duty/keeper-options';
 
 export { Lease } from './duty/lease';
 
