Answer the history route and take absent payloads

Cause: awaiting a fastify reply waits until it is sent, so /admin/history never answered; zod 4 wants a key for z.unknown(), so an order without a source and a record without a payload got 400. Before: curl on /admin/history hung, POST /weights without source 400.

--- a/packages/fakes/src/engine/engine-weights.ts
+++ b/packages/fakes/src/engine/engine-weights.ts
@@ -12,7 +12,7 @@
   version: z.number().int().min(0),
   fencing: z.number().int(),
   order: z.string().min(1),
-  source: z.unknown(),
+  source: z.unknown().optional(),
 });
 
 /** An order to load a weight version. */
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -39,7 +39,9 @@
 
 const AppendBody = z.object({
   records: z
-    .array(z.object({ id: z.string().min(1), kind: z.string(), payload: z.unknown() }))
+    .array(
+      z.object({ id: z.string().min(1), kind: z.string(), payload: z.unknown().default(null) }),
+    )
     .min(1),
 });
 
--- a/packages/fakes/src/server.ts
+++ b/packages/fakes/src/server.ts
@@ -100,7 +100,7 @@
   const lines = standIns.flatMap((standIn) =>
     standIn.report().map((entry) => line(standIn, entry)),
   );
-  await reply.type('application/x-ndjson');
+  void reply.type('application/x-ndjson');
   return lines.join('');
 }
 
--- a/packages/platform/src/http-log.ts
+++ b/packages/platform/src/http-log.ts
@@ -36,7 +36,7 @@
       offset,
       id: recordId,
       kind: z.string(),
-      payload: z.unknown(),
+      payload: z.unknown().default(null),
       appendedAt: wallTime,
     }),
   ),
