--- a/packages/entry/src/scaling-duty.ts
+++ b/packages/entry/src/scaling-duty.ts
@@ -8,12 +8,7 @@
   ZoneId,
 } from '@hibiscushill/base';
 import type { ConfigStore, Service } from '@hibiscushill/config';
-import {
-  type DemandSummary,
-  DutyKeeper,
-  FencedSender,
-  TargetScaler,
-} from '@hibiscushill/control';
+import { type DemandSummary, DutyKeeper, FencedSender, TargetScaler } from '@hibiscushill/control';
 import { type Log, LogTail, TargetOrders } from '@hibiscushill/platform';
 import { isSome } from 'fp-ts/Option';
 
