Measure latency and flood over real processes

Cause: the added latency and the worst-served team have to be shown on the programs, not on a model. Change: hibiscus-proof bench latency and bench flood.

--- a/packages/proof/src/main.ts
+++ b/packages/proof/src/main.ts
@@ -1,6 +1,8 @@
 /** The program `hibiscus-proof`: the demo and the proofs, on processes that it starts. */
 import sade from 'sade';
 
+import { benchFlood } from './bench-flood';
+import { benchLatency } from './bench-latency';
 import { runDemo } from './demo';
 
 const program = sade('hibiscus-proof');
@@ -14,4 +16,14 @@
     process.exit(isGood ? 0 : 1);
   });
 
+program
+  .command('bench latency')
+  .describe('Measures the entry and agent next to a bare proxy and the target.')
+  .action(benchLatency);
+
+program
+  .command('bench flood')
+  .describe('Measures small teams under a flood by a large one.')
+  .action(benchFlood);
+
 program.parse(process.argv);
