Count latencies as they come

Cause: a profile of the entry under 64 in flight (busy machine, a trial) spends 0.24 s of 14.8 s in summing LatencyWindow's 400 buckets for each request. Change: the two windows keep their counts.

--- a/packages/routing/src/latency-window.ts
+++ b/packages/routing/src/latency-window.ts
@@ -15,6 +15,10 @@
 
   #last = new Float64Array(BUCKET_COUNT);
 
+  #presentCount = 0;
+
+  #lastCount = 0;
+
   #startedAt: MonoTime;
 
   /**
@@ -36,12 +40,13 @@
     this.#rotate();
     const index = bucketOf(ms);
     this.#present[index] = (this.#present[index] ?? 0) + 1;
+    this.#presentCount += 1;
   }
 
   /** How many latencies the two windows hold. */
   get count(): number {
     this.#rotate();
-    return total(this.#present) + total(this.#last);
+    return this.#presentCount + this.#lastCount;
   }
 
   /**
@@ -67,7 +72,9 @@
     if (elapsedMs < this.#windowMs) return;
     const isRecent = elapsedMs < 2 * this.#windowMs;
     this.#last = isRecent ? this.#present : new Float64Array(BUCKET_COUNT);
+    this.#lastCount = isRecent ? this.#presentCount : 0;
     this.#present = new Float64Array(BUCKET_COUNT);
+    this.#presentCount = 0;
     this.#startedAt = now;
   }
 }
@@ -76,7 +83,3 @@
   const index = Math.ceil(Math.log2(Math.max(ms, LEAST_MS) / LEAST_MS) * BUCKETS_PER_DOUBLING);
   return Math.min(BUCKET_COUNT - 1, index);
 }
-
-function total(counts: Float64Array): number {
-  return counts.reduce((sum, count) => sum + count, 0);
-}
