Keep a team's arrivals the same when other teams are added

Cause: the flood case offered the small teams other arrivals than the case without it (377 requests of valley against 392), because the seed of each team depended on the number of teams; goodput ratios were off by 4%. Change: the seed depends on the run's seed and the team's place only. Conclusion: both cases now offer the same requests.

--- a/packages/load/src/arrivals.ts
+++ b/packages/load/src/arrivals.ts
@@ -14,6 +14,8 @@
 
 // The generator's first values hardly differ between small seeds.
 const WARM_UP_DRAWS = 32;
+// A team's arrivals stay the same when other teams are added.
+const SEEDS_PER_RUN = 1024;
 const MS_PER_SECOND = 1000;
 
 /**
@@ -37,7 +39,7 @@
  */
 export function* planTeam(scenario: Scenario, index: number): Generator<PlannedRequest> {
   const team = scenario.teams[index] as LoadTeam;
-  const random = createSeededSource(scenario.seed * scenario.teams.length + index);
+  const random = createSeededSource(scenario.seed * SEEDS_PER_RUN + index);
   const untilMs = Math.min(scenario.durationMs, team.arrival.untilMs);
   let count = 0;
   for (const dueMs of planTimes(team.arrival, random)) {
