--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -311,6 +311,7 @@
 
   #sendAttach(attempt: OutgoingAttempt): void {
     const { id, nextSeq, incarnation } = attempt;
+    attempt.takeUp();
     const value = { attempt: id, fromSeq: nextSeq, incarnation, creditBytes: WINDOW_BYTES };
     this.send({ $case: 'attach', value });
   }
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -75,7 +75,10 @@
 
 const NO_TARGET_RETRY_MS: Millis = 500;
 
-type Waited = 'event' | 'hedge-due' | 'ended';
+/** How long idempotent work waits for a broken link before it goes elsewhere too. */
+const RESCUE_AFTER_MS: Millis = 250;
+
+type Waited = 'event' | 'second-due' | 'ended';
 
 /** One request's state over all its attempts. */
 class Dispatch {
@@ -91,11 +94,18 @@
 
   lastFailure: Failure | undefined;
 
+  /** When a second attempt is due, because the first is slow or its link is broken. */
+  secondAt: MonoTime | undefined;
+
   constructor(req: DispatchRequest) {
     this.req = req;
     this.tried = new Set(req.exclude ?? []);
   }
 
+  scheduleSecond(at: number | undefined): void {
+    this.secondAt = at as MonoTime | undefined;
+  }
+
   add(attempt: OutgoingAttempt): void {
     this.attempts += 1;
     this.open.push(attempt);
@@ -135,6 +145,19 @@
     }
   }
 
+  /**
+   * Takes a retry from the budget, for a caller that repeats work itself.
+   *
+   * @param service - the service
+   * @param reason - how the last try ended
+   * @returns false when there is none left
+   */
+  tryRetry(service: ServiceId, reason: CodeName): boolean {
+    if (!this.#options.retryBudget.tryTake(service)) return false;
+    this.#options.metrics.countRetry(reason);
+    return true;
+  }
+
   #start(state: Dispatch): Result<OutgoingAttempt, Failure> {
     const { req } = state;
     for (;;) {
@@ -198,13 +221,13 @@
   async #awaitHead(state: Dispatch): Promise<Result<OpenAnswer, Failure>> {
     const { req } = state;
     const startedAt = this.#options.clock.mono();
-    let hedgeDelay = this.#hedgeDelay(state);
+    const hedgeDelay = this.#hedgeDelay(state);
+    state.scheduleSecond(hedgeDelay === undefined ? undefined : startedAt + hedgeDelay);
     for (;;) {
-      const waited = await this.#wait(state, hedgeDelay);
+      const waited = await this.#wait(state);
       if (waited === 'ended') return err(this.#end(state));
-      if (waited === 'hedge-due') {
-        hedgeDelay = undefined;
-        this.#hedge(state);
+      if (waited === 'second-due') {
+        this.#startSecond(state);
         continue;
       }
       const outcome = await this.#takeEvent(state);
@@ -227,20 +250,30 @@
     return isNone(delay) ? undefined : delay.value;
   }
 
-  #hedge(state: Dispatch): void {
-    if (!this.#options.hedgePolicy.tryStart(state.req.service)) return;
-    if (this.#start(state).isOk()) this.#options.metrics.count('hedged');
+  #startSecond(state: Dispatch): void {
+    const { service } = state.req;
+    const isRescue = state.open.some((attempt) => attempt.isDown);
+    const mayStart = isRescue
+      ? this.tryRetry(service, 'outcome_unknown')
+      : this.#options.hedgePolicy.tryStart(service);
+    if (mayStart && this.#start(state).isOk() && !isRescue) this.#options.metrics.count('hedged');
+    // The budget may have room again before the link is back.
+    const isLate = isRescue && !mayStart;
+    state.scheduleSecond(isLate ? this.#options.clock.mono() + RESCUE_AFTER_MS : undefined);
   }
 
-  async #wait(state: Dispatch, hedgeDelay: Millis | undefined): Promise<Waited> {
+  async #wait(state: Dispatch): Promise<Waited> {
     const { req, open } = state;
     if (req.signal.aborted) return 'ended';
     if (open.some((attempt) => attempt.hasEvent)) return 'event';
-    const remainingMs = Math.max(0, req.deadline - this.#options.clock.mono());
-    const isHedge = hedgeDelay !== undefined && hedgeDelay < remainingMs;
-    const timeoutMs = isHedge ? hedgeDelay : remainingMs;
+    const { secondAt = req.deadline } = state;
+    const isSecond = secondAt < req.deadline;
+    const timeoutMs = Math.max(
+      0,
+      (isSecond ? secondAt : req.deadline) - this.#options.clock.mono(),
+    );
     return new Promise((resolve) => {
-      const timer = setTimeout(() => done(isHedge ? 'hedge-due' : 'ended'), timeoutMs);
+      const timer = setTimeout(() => done(isSecond ? 'second-due' : 'ended'), timeoutMs);
       const onAbort = (): void => done('ended');
       function done(result: Waited): void {
         clearTimeout(timer);
@@ -267,7 +300,10 @@
       case 'failed':
         return this.#takeFailure(state, attempt, event.failure);
       case 'down':
-        return state.req.isIdempotent ? this.#leave(state, attempt) : undefined;
+        if (state.req.isIdempotent) {
+          state.scheduleSecond(this.#options.clock.mono() + RESCUE_AFTER_MS);
+        }
+        return undefined;
       default:
         return undefined;
     }
@@ -285,18 +321,6 @@
     return state.open.length > 0 ? undefined : err(failure);
   }
 
-  // Idempotent work doesn't wait for a broken link to come back.
-  #leave(state: Dispatch, attempt: OutgoingAttempt): Result<OpenAnswer, Failure> | undefined {
-    attempt.cancel();
-    remove(state.open, attempt);
-    const failure = createFailure('outcome_unknown', {
-      detail: 'link broken',
-      run: 'may-have-run',
-    });
-    state.noteFailure(failure);
-    return state.open.length > 0 ? undefined : err(failure);
-  }
-
   /** The failure to answer with, or undefined for another attempt. */
   #decide(state: Dispatch, outcome: Failure): Failure | undefined {
     const { req } = state;
--- a/packages/entry/src/outgoing-attempt.ts
+++ b/packages/entry/src/outgoing-attempt.ts
@@ -66,6 +66,10 @@
 
   #isDone = false;
 
+  #isDown = false;
+
+  #tokens = 0;
+
   /**
    * @param run - how the attempt is named in frames
    * @param target - the target
@@ -91,6 +95,16 @@
     return this.#isDone;
   }
 
+  /** Whether the link is broken just now. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
+  /** The tokens of the answer as the agent counted them; zero before its end. */
+  get tokens(): number {
+    return this.#tokens;
+  }
+
   /** Whether an event is waiting. */
   get hasEvent(): boolean {
     return this.#events.length > 0;
@@ -166,6 +180,7 @@
       this.#failBroken('the digest differs');
     } else {
       this.#isDone = true;
+      this.#tokens = end.tokens;
       this.#push({ kind: 'end', tokens: end.tokens, segments: end.segments });
     }
   }
@@ -186,9 +201,15 @@
 
   /** Notes that the link broke; the attempt may go on over the next one. */
   takeDown(): void {
+    this.#isDown = true;
     if (!this.#isDone) this.#push({ kind: 'down' });
   }
 
+  /** Notes that a new link has asked for the rest of the answer. */
+  takeUp(): void {
+    this.#isDown = false;
+  }
+
   /** Notes that the agent, or its memory of the attempt, is gone. */
   takeLost(detail: string): void {
     const run: RunState = 'may-have-run';
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -25,14 +25,17 @@
 import { type Result, err, ok } from 'neverthrow';
 
 import { isKeyExposed, toTargetHeaders } from './caller-headers';
+import { AnswerForwarder, type ForwardJob } from './answer-forwarder';
 import type { EntryDemandMeter } from './demand-meter';
-import type { DispatchRequest, OpenAnswer, RequestDispatcher } from './dispatcher';
+import type { DispatchRequest, RequestDispatcher } from './dispatcher';
 import type { OpenRequests } from './open-requests';
 import { sendRefusal } from './refusal';
 import { estimateModelRequest } from './request-cost';
 
 const SERVICE_PATH = /^\/s\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const RETRY_SOON_MS: Millis = 250;
+const FRESH_WAIT_MS: Millis = 1000;
+const FRESH_POLL_MS: Millis = 20;
 const PRIORITY_NORMAL = 1;
 const MOST_KEY_LENGTH = 200;
 
@@ -103,11 +106,15 @@
 class ServiceHandler {
   readonly #deps: ServiceRoutesDeps;
 
+  readonly #forwarder: AnswerForwarder;
+
   constructor(deps: ServiceRoutesDeps) {
     this.#deps = deps;
+    this.#forwarder = new AnswerForwarder(deps);
   }
 
   async handle(req: FastifyRequest, res: FastifyReply): Promise<void> {
+    await this.#waitUntilFresh();
     const arrival = this.#receive(req);
     if (arrival.isErr()) {
       this.#refuse(req, res, arrival.error);
@@ -119,6 +126,15 @@
     else await this.#serve(req, res, arrival.value, admission.value);
   }
 
+  // After a pause the next heartbeats confirm the configuration, mostly in time for the request.
+  async #waitUntilFresh(): Promise<void> {
+    const { clock, config, configAgeMs } = this.#deps;
+    const until = clock.mono() + FRESH_WAIT_MS;
+    while (isSome(config.view) && !config.isFresh(configAgeMs) && clock.mono() < until) {
+      await clock.sleep(FRESH_POLL_MS);
+    }
+  }
+
   #receive(req: FastifyRequest): Result<Arrival, Failure> {
     const { config, clock } = this.#deps;
     if (this.#deps.isStopping()) return refuse('shutting_down', RETRY_SOON_MS);
@@ -175,9 +191,8 @@
     demand.recordStart(arrival.service.name);
     let tokens = 0;
     try {
-      const answer = await this.#deps.dispatcher.dispatch(
-        this.#createDispatch(req, arrival, ending.signal),
-      );
+      const dispatch = this.#createDispatch(req, arrival, ending.signal);
+      const answer = await this.#deps.dispatcher.dispatch(dispatch);
       if (answer.isErr()) {
         const failure = isCut
           ? createFailure('key_withdrawn', { run: answer.error.run })
@@ -185,7 +200,8 @@
         this.#refuse(req, res, failure);
         return;
       }
-      tokens = await this.#forward(req, res, arrival, answer.value, ending.signal);
+      const job = { req, res, dispatch, answer: answer.value };
+      tokens = await this.#forward(arrival, job);
     } finally {
       demand.recordEnd(arrival.service.name, clock.mono() - startedAt, tokens);
       this.#deps.open.remove(arrival.id);
@@ -221,47 +237,13 @@
     };
   }
 
-  /** Sends the answer on. Returns its tokens, or zero when it broke off. */
-  async #forward(
-    req: FastifyRequest,
-    res: FastifyReply,
-    arrival: Arrival,
-    answer: OpenAnswer,
-    signal: AbortSignal,
-  ): Promise<number> {
-    const { attempt } = answer;
-    res.hijack();
-    const { raw } = res;
-    const timer = setTimeout(
-      () => attempt.fail(createFailure('deadline_exceeded', { run: 'may-have-run' })),
-      Math.max(0, arrival.deadline - this.#deps.clock.mono()),
-    );
-    const onAbort = (): void => attempt.fail(createFailure('cancelled', { run: 'may-have-run' }));
-    signal.addEventListener('abort', onAbort);
-    writeHead(raw, req, answer, this.#deps.isStopping());
-    try {
-      for (;;) {
-        const event = await attempt.next();
-        if (event.kind === 'chunk') {
-          await write(raw, event.data);
-          attempt.credit(event.data.length);
-        } else if (event.kind === 'end') {
-          raw.end();
-          this.#finish(arrival, attempt.request, event.tokens);
-          attempt.acknowledge(arrival.team !== undefined);
-          return event.tokens;
-        } else if (event.kind === 'failed') {
-          this.#deps.metrics.count(`broken.${event.failure.code}`);
-          attempt.cancel();
-          // A partial answer must not look like a whole one.
-          raw.destroy();
-          return 0;
-        }
-      }
-    } finally {
-      clearTimeout(timer);
-      signal.removeEventListener('abort', onAbort);
-    }
+  /** Forwards an answer. Returns its tokens; zero when it broke off. */
+  async #forward(arrival: Arrival, job: ForwardJob): Promise<number> {
+    const served = await this.#forwarder.forward(job);
+    if (served === undefined) return 0;
+    this.#finish(arrival, served.request, served.tokens);
+    served.settle(arrival.team !== undefined);
+    return served.tokens;
   }
 
   #finish(arrival: Arrival, request: RequestId, tokens: number): void {
@@ -308,28 +290,3 @@
     return text;
   }
 }
-
-function writeHead(
-  raw: FastifyReply['raw'],
-  req: FastifyRequest,
-  answer: OpenAnswer,
-  isStopping: boolean,
-): void {
-  answer.headers.forEach((header) => raw.appendHeader(header.name, header.value));
-  raw.setHeader('x-request-id', req.id);
-  if (isStopping) raw.setHeader('connection', 'close');
-  raw.writeHead(answer.status);
-}
-
-async function write(raw: FastifyReply['raw'], data: Buffer): Promise<void> {
-  if (raw.write(data) || raw.destroyed) return;
-  await new Promise<void>((resolve) => {
-    const done = (): void => {
-      raw.off('drain', done);
-      raw.off('close', done);
-      resolve();
-    };
-    raw.once('drain', done);
-    raw.once('close', done);
-  });
-}
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -10,6 +10,8 @@
   readonly floorPerSecond?: number;
   /** The most retries that are saved up. */
   readonly most?: number;
+  /** The retries that a service begins with. */
+  readonly initial?: number;
 }
 
 interface Balance {
@@ -19,7 +21,8 @@
 
 const DEFAULT_RATIO = 0.1;
 const DEFAULT_FLOOR_PER_SECOND = 0.5;
-const DEFAULT_MOST = 10;
+const DEFAULT_MOST = 100;
+const DEFAULT_INITIAL = 10;
 const MS_PER_SECOND = 1000;
 // Ten deposits of a tenth sum to a little less than one.
 const ROUNDING = 1e-9;
@@ -34,6 +37,8 @@
 
   readonly #most: number;
 
+  readonly #initial: number;
+
   readonly #balances = new Map<ServiceId, Balance>();
 
   /** @param options - the clock and the bounds */
@@ -42,6 +47,7 @@
     this.#ratio = options.ratio ?? DEFAULT_RATIO;
     this.#floorPerSecond = options.floorPerSecond ?? DEFAULT_FLOOR_PER_SECOND;
     this.#most = options.most ?? DEFAULT_MOST;
+    this.#initial = Math.min(this.#most, options.initial ?? DEFAULT_INITIAL);
   }
 
   /**
@@ -79,7 +85,7 @@
 
   #read(service: ServiceId): Balance {
     const now = this.#clock.mono();
-    const balance = this.#balances.get(service) ?? { retries: this.#most, readAt: now };
+    const balance = this.#balances.get(service) ?? { retries: this.#initial, readAt: now };
     const gained = ((now - balance.readAt) / MS_PER_SECOND) * this.#floorPerSecond;
     balance.retries = Math.min(this.#most, balance.retries + gained);
     balance.readAt = now;
