--- a/packages/proof/src/main.ts
+++ b/packages/proof/src/main.ts
@@ -1,6 +1,7 @@
 /** The program `hibiscus-proof`: the demo and the proofs, on processes that it starts. */
 import sade from 'sade';
 
+import { benchCapacity } from './bench-capacity';
 import { benchFlood } from './bench-flood';
 import { benchLatency } from './bench-latency';
 import { runDemo } from './demo';
@@ -41,6 +42,12 @@
   .describe('Measures small teams under a flood by a large one.')
   .action(benchFlood);
 
+program
+  .command('bench capacity')
+  .describe("Measures how each process's cost grows with a deployment's size.")
+  .option('--only', 'One series: agents, entries, keys, trainers or changes')
+  .action((flags: { only?: string }) => benchCapacity(flags.only));
+
 program.parse(process.argv);
 
 interface RequestFlags {
