Keep claims over the holes that a tail leaves for repeated records

Cause: a trainer's fold is fed by a tail, which hands each id out once. After a repeated record the history took the hole for trimmed records, knew no claim until the next renewal, and the owner's records in between counted for nobody.

Change: TailClaims passes over holes, and starts anew only when the tail says that records were trimmed; the trainers' desks use it in place of their own class. FoldReader is exported for readers that need every record.

Ruled out: passing over holes in ClaimHistory itself, since a reader that joins late would miss claims without noticing.

--- a/packages/control/src/duty/history.ts
+++ b/packages/control/src/duty/history.ts
@@ -100,6 +100,15 @@
     this.#buffer = [];
   }
 
+  /**
+   * Passes over records that repeat earlier ones, which a tail leaves out.
+   *
+   * @param next - the offset to take next
+   */
+  skipTo(next: Offset): void {
+    if (this.#next !== undefined && next > this.#next) this.#next = next;
+  }
+
   /**
    * Starts the history from a claim that is known to be the last valid one.
    *
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,6 +7,11 @@
 
 export { Lease } from './duty/lease';
 
+export { TailClaims } from './duty/tail-claims';
+
+export { FoldReader } from './duty/reading';
+export type { RecordFold } from './duty/reading';
+
 export { rankCandidates } from './duty/rank';
 
 export { DUTY_KINDS, NO_CLAIM, parseDutyRecord } from './duty/records';
--- a/packages/control/test/history.test.ts
+++ b/packages/control/test/history.test.ts
@@ -1,8 +1,9 @@
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord, TrimGap } from '@hibiscushill/platform';
 import fc from 'fast-check';
+import { none, some } from 'fp-ts/Option';
 import { describe, expect, it } from 'vitest';
 
-import { ClaimHistory, NO_CLAIM } from '../src';
+import { ClaimHistory, NO_CLAIM, TailClaims } from '../src';
 import { createRecord } from './duty-harness';
 
 const DUTY = 'usage';
@@ -67,6 +68,23 @@
     expect(fold(records).present?.claim).toBe(0);
   });
 
+  it('keeps what it knows when a tail leaves repeats out, but not when records were trimmed', () => {
+    let trim: (gap: TrimGap) => void = () => undefined;
+    const tail = {
+      onTrimmed: (handle: typeof trim) => {
+        trim = handle;
+        return () => undefined;
+      },
+    };
+    const claims = new TailClaims(DUTY, tail);
+    claims.apply(claim(0, -1));
+    claims.apply(createRecord(5, 'other', {}));
+    expect(claims.current()).toEqual(some(0));
+    trim({ from: 6, first: 9 } as TrimGap);
+    claims.apply(createRecord(9, 'other', {}));
+    expect(claims.current()).toEqual(none);
+  });
+
   it('gives every reader the same present claim, from whatever offset it starts', () => {
     fc.assert(
       fc.property(createSchedule(), (steps) => {
--- a/packages/entry/src/trainer-desks.ts
+++ b/packages/entry/src/trainer-desks.ts
@@ -11,10 +11,9 @@
   createLogger,
 } from '@hibiscushill/base';
 import type { ConfigStore, Trainer } from '@hibiscushill/config';
-import { ClaimHistory, type DutyName, DutyKeeper } from '@hibiscushill/control';
-import { type Log, LogTail, type LogRecord, type StreamName } from '@hibiscushill/platform';
+import { DutyKeeper, TailClaims } from '@hibiscushill/control';
+import { type Log, LogTail, type StreamName } from '@hibiscushill/platform';
 import {
-  type ClaimReader,
   type SampleRunner,
   SlidingWaves,
   TailHedging,
@@ -41,25 +40,6 @@
   readonly createRunner: (service: () => ServiceId) => SampleRunner;
 }
 
-/** Reads claims for a desk; a stream that was trimmed starts anew. */
-class DutyClaims implements ClaimReader {
-  readonly #history: ClaimHistory;
-
-  constructor(duty: DutyName) {
-    this.#history = new ClaimHistory(duty);
-  }
-
-  apply(record: LogRecord): void {
-    if (this.#history.next === undefined) this.#history.startAt(record.offset);
-    this.#history.apply(record);
-  }
-
-  current(): Option<FencingNumber> {
-    const claim = this.#history.present?.claim ?? -1;
-    return claim < 0 ? none : some(claim as FencingNumber);
-  }
-}
-
 /** One trainer in this process. */
 class TrainerPost {
   readonly desk: TrainerDesk;
@@ -105,7 +85,7 @@
       clock,
       metrics,
       trainer: declared,
-      claims: new DutyClaims(duty),
+      claims: new TailClaims(duty, this.#tail),
       append: (records) => options.log.append(stream, records),
       runner: options.createRunner(() => declared().service),
       stragglers: new TailHedging(),
