Wire an entry's control tasks in one class

Cause: an entry has to subscribe before the tails start, and has to stop its tasks in an order that hands duties over; that order belongs with the tasks.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -51,3 +51,6 @@
 
 export { TargetScaler } from './scaling/scaler';
 export type { RunningWork, TargetScalerOptions } from './scaling/scaler';
+
+export { ControlTasks } from './tasks';
+export type { ControlTasksOptions } from './tasks';
