Read a log that is slower than the tail's timeout

Ruled out: a long fixed timeout, since a silent connection is noticed only after it. Change: the timeout starts at 1.5 s, doubles with each timeout up to 15 s, and follows twice the time of the last answer. bounds() gets 15 s. Before: with 300 ms a read and a timeout of 100 ms, 3 of 3 reads fail (first half of the test).

--- a/packages/fakes/test/platform.test.ts
+++ b/packages/fakes/test/platform.test.ts
@@ -113,6 +113,36 @@
     expect(page._unsafeUnwrap().records).toHaveLength(1);
   });
 
+  it('reads a log that is slower than its first timeout, where a fixed one never does', async () => {
+    const { fake, log } = await setUpLog();
+    await log.append('config', [entry('a')]);
+    fake.change({ slowMs: 300 });
+    for (let tries = 0; tries < 3; tries += 1) {
+      const read = await log.read('config', 0 as Offset, { timeoutMs: 100 });
+      expect(read.isErr()).toBe(true);
+    }
+    const clock = new SystemClock();
+    const tail = new LogTail({ log, stream: 'config', clock, timeoutMs: 100 });
+    own({ close: () => tail.stop() });
+    tail.start();
+    expect(await tail.waitFor('a' as RecordId)).toMatchObject({ _tag: 'Some', value: 0 });
+  });
+
+  it('drops records by age and tells the tail', async () => {
+    const { fake, log, tail } = await setUpLog();
+    const gaps: unknown[] = [];
+    fake.change({ keepMs: 50 });
+    await log.append('config', [entry('a')]);
+    await vi.waitUntil(async () => (await log.bounds('config'))._unsafeUnwrap().first === 1);
+    const late = new LogTail({ log, stream: 'config', clock: new SystemClock() });
+    own({ close: () => late.stop() });
+    late.onTrimmed((gap) => gaps.push(gap));
+    late.start();
+    await late.catchUp();
+    await tail.catchUp();
+    expect(gaps).toEqual([{ from: 0, first: 1 }]);
+  });
+
   it('leaves all silent connections at once', async () => {
     const { cutter, log, tail } = await setUpLog();
     await Promise.all(['a', 'b', 'c', 'd'].map((id) => log.append('usage', [entry(id)])));
@@ -189,6 +219,20 @@
     expect(new Set(ids).size).toBe(ids.length);
   });
 
+  it('warms a target up, stops it and adds up what it cost', async () => {
+    const { fake, orders } = await setUpOrders();
+    const receipt = (await orders.order(ZONE, order('o1', 5), ALWAYS))._unsafeUnwrap();
+    const stateOf = async () => (await orders.readZone(ZONE))._unsafeUnwrap().targets[0]?.state;
+    await vi.waitUntil(async () => (await stateOf()) === 'live');
+    fake.change({ leaveMs: 0 });
+    const stop = { ...order('o2', 5), action: 'stop' as const, target: receipt.target! };
+    expect((await orders.order(ZONE, stop, ALWAYS)).isOk()).toBe(true);
+    await vi.waitUntil(async () => (await stateOf()) === undefined);
+    expect(fake.targetSeconds).toBeGreaterThan(0);
+    const changes = fake.report().filter((seen) => seen.op === 'change');
+    expect(changes.map((seen) => seen.action)).toEqual(['start', 'stop']);
+  });
+
   it('finds out about an order whose answer was lost', async () => {
     const { fake, orders } = await setUpOrders();
     fake.change({ loseAnswers: 1 });
--- a/packages/fakes/test/targets.test.ts
+++ b/packages/fakes/test/targets.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { Cutter, FakeEngine, FakePlain, FakeServer, createTokens } from '../src';
+import { PrefixCache } from '../src/engine/prefix-cache';
 
 const closing: { close(): Promise<void> }[] = [];
 
@@ -103,6 +104,16 @@
     expect(ends().map((seen) => seen.requestId)).toEqual(['first', 'high', 'low']);
   });
 
+  it('reads a prompt faster whose prefix it holds', () => {
+    const cache = new PrefixCache();
+    const prompt = 'tasting note '.repeat(20);
+    expect(cache.take('t', prompt, 1_000)).toBe(0);
+    expect(cache.take('t', `${prompt}and more`, 1_000)).toBe(64);
+    expect(cache.take('other', prompt, 1_000)).toBe(0);
+    expect(cache.take('t', prompt, 16)).toBe(64);
+    expect(cache.take('t', prompt, 1_000)).toBe(0);
+  });
+
   it('forgets its weights in a crash and breaks the streams off', async () => {
     const { server, send, ends } = await setUpEngine();
     await send('/weights', swap(1, 1));
--- a/packages/platform/src/http-log.ts
+++ b/packages/platform/src/http-log.ts
@@ -22,6 +22,7 @@
 } from './log';
 
 const READ_TIMEOUT_MS = 2_000;
+const BOUNDS_TIMEOUT_MS = 15_000;
 const PAGE_LIMIT = 500;
 
 const offset = z.number().int().min(0) as unknown as z.ZodType<Offset>;
@@ -85,8 +86,8 @@
     options: ReadOptions = {},
   ): ResultAsync<LogPage, Failure> {
     const { limit = PAGE_LIMIT, waitMs = 0, signal } = options;
+    const timeoutMs = waitMs + (options.timeoutMs ?? this.#readTimeoutMs);
     const path = `${streamPath(stream)}/records?from=${from}&limit=${limit}&waitMs=${waitMs}`;
-    const timeoutMs = waitMs + this.#readTimeoutMs;
     return this.#client
       .send({ method: 'GET', path, timeoutMs, ...(signal && { signal }) })
       .andThen(readPage);
@@ -94,7 +95,7 @@
 
   override bounds(stream: StreamName): ResultAsync<StreamBounds, Failure> {
     return this.#client
-      .send({ method: 'GET', path: streamPath(stream), timeoutMs: this.#readTimeoutMs })
+      .send({ method: 'GET', path: streamPath(stream), timeoutMs: BOUNDS_TIMEOUT_MS })
       .andThen((answer) => readAnswer(answer, BoundsAnswer));
   }
 
--- a/packages/platform/src/log-tail.ts
+++ b/packages/platform/src/log-tail.ts
@@ -19,6 +19,8 @@
 import type { Log, LogPage, LogRecord, StreamName } from './log';
 
 const WAIT_MS = 1_000;
+const TIMEOUT_MS = 1_500;
+const MOST_TIMEOUT_MS = 15_000;
 const PAGE_LIMIT = 500;
 const KNOWN_IDS = 16_384;
 const DOUBTFUL_IDS = 1_024;
@@ -32,6 +34,11 @@
   readonly from?: Offset;
   /** How long the log may hold an empty answer back, in milliseconds. */
   readonly waitMs?: Millis;
+  /**
+   * How long a read may take beyond its wait at first, in milliseconds. It grows while reads time
+   * out, so that a slow log is still read.
+   */
+  readonly timeoutMs?: Millis;
   /** How many of the newest ids are remembered to recognise a repeated record. */
   readonly knownIds?: number;
   readonly random?: RandomSource;
@@ -56,6 +63,8 @@
 
   readonly #waitMs: Millis;
 
+  readonly #leastTimeoutMs: Millis;
+
   readonly #known: KnownIds;
 
   readonly #doubtful: KnownIds;
@@ -76,6 +85,8 @@
 
   #next: Offset;
 
+  #timeoutMs: Millis;
+
   #caughtUpAt: MonoTime | undefined;
 
   #nudge = new AbortController();
@@ -94,6 +105,8 @@
     this.#stream = options.stream;
     this.#clock = options.clock;
     this.#waitMs = options.waitMs ?? WAIT_MS;
+    this.#leastTimeoutMs = options.timeoutMs ?? TIMEOUT_MS;
+    this.#timeoutMs = this.#leastTimeoutMs;
     this.#known = new KnownIds(options.knownIds ?? KNOWN_IDS);
     this.#doubtful = new KnownIds(DOUBTFUL_IDS);
     this.#backoff = new Backoff(options.random ?? createRandomSource());
@@ -199,13 +212,20 @@
       const sentAt = this.#clock.mono();
       this.#sentReads += 1;
       const waitMs = this.#hurried > 0 ? 0 : this.#waitMs;
-      const options = { limit: PAGE_LIMIT, waitMs, signal: this.#nudge.signal };
+      const timeoutMs = this.#timeoutMs;
+      const options = { limit: PAGE_LIMIT, waitMs, timeoutMs, signal: this.#nudge.signal };
       const page = await this.#log.read(this.#stream, this.#next, options);
       if (page.isOk()) this.#take(page.value, sentAt);
       else await this.#recover(page.error);
+      if (page.isOk()) this.#adaptTimeout(this.#clock.mono() - sentAt - waitMs);
     }
   }
 
+  // Twice what the last read took leaves room for a log that gets slower.
+  #adaptTimeout(tookMs: Millis): void {
+    this.#timeoutMs = Math.min(Math.max(2 * tookMs, this.#leastTimeoutMs), MOST_TIMEOUT_MS);
+  }
+
   #take(page: LogPage, sentAt: MonoTime): void {
     this.#backoff.reset();
     page.records.forEach((record) => this.#deliver(record));
@@ -235,6 +255,7 @@
   async #recover(failure: Failure): Promise<void> {
     if (this.#nudge.signal.aborted) return;
     this.#metrics?.countRetry(failure.code);
+    if (failure.run === 'may-have-run') this.#adaptTimeout(this.#timeoutMs);
     if (failure.code === 'offset_trimmed' && (await this.#skipTrimmed())) return;
     this.#logger.warn('A read failed.', { code: failure.code, detail: failure.detail });
     await this.#clock.sleep(this.#backoff.next(failure.retryAfterMs), this.#stopping.signal);
--- a/packages/platform/src/log.ts
+++ b/packages/platform/src/log.ts
@@ -35,6 +35,8 @@
   readonly limit?: number;
   /** How long the log may hold an empty answer back, in milliseconds. */
   readonly waitMs?: Millis;
+  /** How long the answer may take beyond the wait, in milliseconds. */
+  readonly timeoutMs?: Millis;
   readonly signal?: AbortSignal;
 }
 
