--- a/packages/routing/test/share-tracker.test.ts
+++ b/packages/routing/test/share-tracker.test.ts
@@ -92,6 +92,23 @@
     expect(tracker.share(TEAM)).toBe(0.25);
   });
 
+  it('raises a share only when it was due twice, and lowers it at once', () => {
+    const createTracker = (settlePeriods: number) => {
+      const clock = new ManualClock();
+      const entry = 'x' as InstanceId;
+      const tracker = new ShareTracker({ clock, entry, settlePeriods });
+      tracker.setEntries([entry, 'y' as InstanceId]);
+      const shares = [0, 9, 9, 0, 0].map((demand) => {
+        tracker.takePeerSummary('y' as InstanceId, new Map([[TEAM, demand]]), clock.mono());
+        clock.advance(500);
+        return Math.round(tracker.share(TEAM) * 100) / 100;
+      });
+      return shares;
+    };
+    expect(createTracker(1)).toEqual([0.5, 0.05, 0.05, 0.05, 0.5]);
+    expect(createTracker(0)).toEqual([0.5, 0.05, 0.05, 0.5, 0.5]);
+  });
+
   it('does not multiply the bound under a full cut, and evens the shares out', () => {
     const fleet = settle([4, 1, 1]);
     fleet.isLinked = () => false;
--- a/packages/routing/test/target-policy.test.ts
+++ b/packages/routing/test/target-policy.test.ts
@@ -3,7 +3,13 @@
 import { isNone, toNullable } from 'fp-ts/Option';
 import { describe, expect, it } from 'vitest';
 
-import { AffinityTargetPolicy, RandomTargetPolicy, type TargetView, isAvailable } from '../src';
+import {
+  AffinityTargetPolicy,
+  RandomTargetPolicy,
+  type TargetView,
+  estimateAttempts,
+  isAvailable,
+} from '../src';
 import { createRequest, createTarget } from './fixtures';
 
 const SEED = 20;
@@ -71,6 +77,14 @@
     expect(chooseTimes(policy, 1, views)).toEqual(['b']);
   });
 
+  it('takes off what has ended since the report, but never below its own attempts', () => {
+    const busy = withLoad('a', 6);
+    const ended = { ...busy, inFlight: 1, sentSinceReport: 4, endedSinceReport: 9 };
+    expect(estimateAttempts(ended)).toBe(1);
+    expect(estimateAttempts({ ...ended, inFlight: 3 })).toBe(3);
+    expect(chooseTimes(policy, 1, [ended, withLoad('b', 2)])).toEqual(['a']);
+  });
+
   it('keeps a key at one target, and moves only the keys of a target that leaves', () => {
     const views = Array.from({ length: 6 }, (_, index) => createTarget(`t${index}`));
     const keys = Array.from({ length: 300 }, (_, index) => `prefix-${index}`);
