Mend a crash on fractional deadlines; cut costs on the request path

The request path spent time on aborts of finished responses, one credit frame a chunk, header work before admission, and an agent walked all remembered attempts at each request. Change: the deadline is rounded up (test first: it threw); the close listener is removed; credit goes back half a window at a time; headers are built after admission; the wait estimate and the newest agents are remembered for 20 and 25 ms; settled attempts leave a tombstone that says whether they ran; a request waits up to 750 ms for links that are being opened. Ruled out and reverted: warming up the random source, as six seeded tests change their schedules.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -223,11 +223,13 @@
   #takeRun(session: LinkSession, run: Run): void {
     const { clock, incarnation } = this.#options;
     const deadline = (clock.mono() + run.deadlineMs) as MonoTime;
-    const attempt = new Attempt(run, session, deadline);
-    if (this.#ledger.find(attempt.id) !== undefined) return;
+    const id = run.attempt as AttemptId;
+    const tombstone = this.#ledger.findTombstone(id);
+    if (this.#ledger.find(id) !== undefined || tombstone?.ran) return;
+    const attempt = new Attempt(run, session, deadline, (bytes) => this.#ledger.countStored(bytes));
     this.#ledger.add(attempt);
     if (run.incarnation !== incarnation) this.#refuse(attempt, 'incarnation_stale');
-    else if (this.#ledger.isBuried(attempt.id)) this.#refuse(attempt, 'attempt_revoked');
+    else if (tombstone !== undefined) this.#refuse(attempt, 'attempt_revoked');
     else this.#admit(attempt);
   }
 
@@ -292,19 +294,21 @@
   #attach(session: LinkSession, attach: Attach): void {
     const id = attach.attempt as AttemptId;
     const attempt = this.#ledger.find(id);
-    if (attempt === undefined || attach.incarnation !== this.#options.incarnation) {
-      this.#ledger.bury(id);
-      this.#sendNotRun(session, id, 'attempt_revoked');
-    } else if (!attempt.attach(session, attach.fromSeq, attach.creditBytes)) {
+    if (attempt?.attach(session, attach.fromSeq, attach.creditBytes)) return;
+    if (attempt !== undefined || this.#ledger.findTombstone(id)?.ran) {
       const { code } = RESULT_CODES.answer_broken;
       session.send({ $case: 'end', value: { ...EMPTY_END, attempt: id, code } });
+    } else {
+      this.#ledger.bury(id);
+      this.#sendNotRun(session, id, 'attempt_revoked');
     }
   }
 
   #revoke(session: LinkSession, id: AttemptId): void {
     const attempt = this.#ledger.find(id);
-    const started = attempt?.state === 'running' || attempt?.state === 'finished';
-    if (attempt === undefined) this.#ledger.bury(id);
+    const ran = this.#ledger.findTombstone(id)?.ran ?? false;
+    const started = ran || attempt?.state === 'running' || attempt?.state === 'finished';
+    if (attempt === undefined) this.#ledger.bury(id, ran);
     else if (!started && !attempt.isDone) this.#withdraw(attempt, 'attempt_revoked');
     session.send({ $case: 'revokeResult', value: { attempt: id, started } });
   }
@@ -312,7 +316,7 @@
   #cancel(id: AttemptId): void {
     const attempt = this.#ledger.find(id);
     if (attempt === undefined) {
-      this.#ledger.bury(id);
+      this.#ledger.bury(id, this.#ledger.findTombstone(id)?.ran ?? false);
       return;
     }
     if (attempt.state === 'running') attempt.cancel();
--- a/packages/agent/src/attempt.ts
+++ b/packages/agent/src/attempt.ts
@@ -58,12 +58,21 @@
 
   readonly #followers: Attempt[] = [];
 
+  readonly #onStored: (bytes: number) => void;
+
   /**
    * @param run - the entry's frame
    * @param session - the entry's session
    * @param deadline - when the caller stops waiting
+   * @param onStored - told of bytes that are held from now on, or no longer
    */
-  constructor(run: Run, session: LinkSession, deadline: MonoTime) {
+  constructor(
+    run: Run,
+    session: LinkSession,
+    deadline: MonoTime,
+    onStored: (bytes: number) => void = () => undefined,
+  ) {
+    this.#onStored = onStored;
     this.id = run.attempt as AttemptId;
     this.run = run;
     this.deadline = deadline;
@@ -170,7 +179,7 @@
     const chunk = { seq: this.#nextSeq, data };
     this.#nextSeq += 1;
     this.#chunks.push(chunk);
-    this.#storedBytes += data.length;
+    this.#store(data.length);
     this.#unconsumedBytes += data.length;
     this.#session?.send({ $case: 'chunk', value: { attempt: this.id, ...chunk } });
     this.#followers.forEach((follower) => follower.addChunk(data));
@@ -247,7 +256,7 @@
   /** Frees the answer. */
   dropAnswer(): void {
     this.#chunks = [];
-    this.#storedBytes = 0;
+    this.#store(-this.#storedBytes);
   }
 
   #resend(session: LinkSession, fromSeq: number): void {
@@ -266,13 +275,18 @@
       const first = this.#chunks[0]!;
       if (this.#storedBytes - first.data.length < this.#unconsumedBytes) return;
       this.#chunks.shift();
-      this.#storedBytes -= first.data.length;
+      this.#store(-first.data.length);
     }
   }
 
   #dropBefore(seq: number): void {
     const dropped = this.#chunks.filter((chunk) => chunk.seq < seq);
     this.#chunks = this.#chunks.filter((chunk) => chunk.seq >= seq);
-    this.#storedBytes -= dropped.reduce((sum, chunk) => sum + chunk.data.length, 0);
+    this.#store(-dropped.reduce((sum, chunk) => sum + chunk.data.length, 0));
+  }
+
+  #store(bytes: number): void {
+    this.#storedBytes += bytes;
+    this.#onStored(bytes);
   }
 }
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -24,6 +24,13 @@
   readonly digest: string;
 }
 
+/** What is left of an attempt that is over, or that must not run. */
+export interface Tombstone {
+  readonly until: MonoTime;
+  /** Whether the attempt may have run. */
+  readonly ran: boolean;
+}
+
 interface KeyedEntry extends KeyedRequest {
   readonly until: MonoTime;
 }
@@ -40,7 +47,9 @@
 
   readonly #attempts = new Map<AttemptId, Attempt>();
 
-  readonly #tombstones = new Map<AttemptId, MonoTime>();
+  readonly #tombstones = new Map<AttemptId, Tombstone>();
+
+  #storedBytes = 0;
 
   readonly #keyed = new Map<string, KeyedEntry>();
 
@@ -57,12 +66,10 @@
     return this.#attempts.values();
   }
 
-  /** The attempts that are not done, or done and not yet settled. */
+  /** The attempts that are not settled. */
   get openCount(): number {
     let open = 0;
-    for (const attempt of this.#attempts.values()) {
-      if (!attempt.isDone || attempt.settledAt === undefined) open += 1;
-    }
+    for (const attempt of this.#attempts.values()) if (attempt.settledAt === undefined) open += 1;
     return open;
   }
 
@@ -76,21 +83,29 @@
     this.#attempts.set(attempt.id, attempt);
   }
 
-  /** Tells whether an attempt must not run. */
-  isBuried(id: AttemptId): boolean {
-    return this.#tombstones.has(id);
+  /** Finds what is left of an attempt that is over or must not run. */
+  findTombstone(id: AttemptId): Tombstone | undefined {
+    return this.#tombstones.get(id);
+  }
+
+  /**
+   * Makes sure that an attempt never runs from now on.
+   *
+   * @param id - the attempt
+   * @param ran - whether it may have run already
+   */
+  bury(id: AttemptId, ran = false): void {
+    this.#tombstones.set(id, { until: this.#laterBy(this.#rememberMs), ran });
   }
 
-  /** Makes sure that an attempt which has not arrived never runs. */
-  bury(id: AttemptId): void {
-    this.#tombstones.set(id, this.#laterBy(this.#rememberMs));
+  /** Counts bytes of answers that are held from now on, or no longer. */
+  countStored(bytes: number): void {
+    this.#storedBytes += bytes;
   }
 
   /** Tells whether the held answers leave room for another. */
   hasRoom(): boolean {
-    let bytes = 0;
-    for (const attempt of this.#attempts.values()) bytes += attempt.storedBytes;
-    return bytes < this.#storeBytes;
+    return this.#storedBytes < this.#storeBytes;
   }
 
   /** Finds the request that came with an idempotency key before. */
@@ -108,13 +123,14 @@
     this.#keyed.delete(key);
   }
 
-  /** Marks an attempt as settled. Its answer is freed, unless an idempotency key keeps it. */
+  /** Ends an attempt that its entry is done with. An idempotency key keeps its answer. */
   settle(attempt: Attempt): void {
+    if (attempt.settledAt !== undefined) return;
     attempt.settle(this.#clock.mono());
-    if (attempt.run.idempotencyKey === '') attempt.dropAnswer();
+    if (attempt.run.idempotencyKey === '') this.#forget(attempt);
   }
 
-  /** Marks an attempt as settled whose answer another entry may still ask for. */
+  /** Ends an attempt whose answer another entry may still ask for. */
   orphan(attempt: Attempt): void {
     if (attempt.run.retain && attempt.isWhole) attempt.settle(this.#clock.mono());
     else this.settle(attempt);
@@ -123,18 +139,22 @@
   /** Forgets what is settled and old. */
   sweep(): void {
     const now = this.#clock.mono();
-    for (const [id, until] of this.#tombstones) if (until < now) this.#tombstones.delete(id);
+    for (const [id, { until }] of this.#tombstones) if (until < now) this.#tombstones.delete(id);
     for (const [key, entry] of this.#keyed) if (entry.until < now) this.#keyed.delete(key);
     for (const attempt of this.#attempts.values()) {
-      if (this.#isForgettable(attempt, now)) this.#attempts.delete(attempt.id);
+      if (this.#isForgettable(attempt, now)) this.#forget(attempt);
     }
   }
 
   #isForgettable(attempt: Attempt, now: MonoTime): boolean {
     if (attempt.settledAt === undefined) return false;
-    const isKept = attempt.run.idempotencyKey !== '' || attempt.storedBytes > 0;
-    const keepMs = isKept ? this.#replayMs : this.#rememberMs;
-    return now - attempt.settledAt > keepMs;
+    return now - attempt.settledAt > this.#replayMs;
+  }
+
+  #forget(attempt: Attempt): void {
+    this.bury(attempt.id, attempt.state !== 'refused');
+    attempt.dropAnswer();
+    this.#attempts.delete(attempt.id);
   }
 
   #laterBy(ms: Millis): MonoTime {
--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -85,6 +85,8 @@
 
   #sentSinceLoad = 0;
 
+  #endedSinceLoad = 0;
+
   #lossTimer: NodeJS.Timeout | undefined;
 
   /** @param options - the address and who is told of what arrives */
@@ -157,6 +159,7 @@
       inFlight: this.#attempts.size,
       reported: { running, queued, queuedTokens, slots, atMono: this.#loadAt },
       sentSinceReport: this.#sentSinceLoad,
+      endedSinceReport: this.#endedSinceLoad,
       leaving,
       ejected: isEjected,
       ready: ready && this.#isUp,
@@ -218,16 +221,16 @@
   }
 
   acknowledge(attempt: OutgoingAttempt, billed: boolean): void {
-    this.#attempts.delete(attempt.id);
+    this.#remove(attempt);
     this.send({ $case: 'ack', value: { attempt: attempt.id, billed } });
   }
 
   forget(attempt: OutgoingAttempt): void {
-    this.#attempts.delete(attempt.id);
+    this.#remove(attempt);
   }
 
   cancel(attempt: OutgoingAttempt): void {
-    this.#attempts.delete(attempt.id);
+    this.#remove(attempt);
     const isSent = this.send({ $case: 'cancel', value: { attempt: attempt.id } });
     if (!isSent) this.#cancelled.add(attempt.id);
   }
@@ -298,6 +301,10 @@
     }
   }
 
+  #remove(attempt: OutgoingAttempt): void {
+    if (this.#attempts.delete(attempt.id)) this.#endedSinceLoad += 1;
+  }
+
   #find(attempt: string): OutgoingAttempt | undefined {
     return this.#attempts.get(attempt as AttemptId);
   }
@@ -306,6 +313,7 @@
     this.#load = load;
     this.#loadAt = this.#options.clock.mono();
     this.#sentSinceLoad = 0;
+    this.#endedSinceLoad = 0;
     this.#options.onLoad(this);
   }
 
--- a/packages/entry/src/agent-pool.ts
+++ b/packages/entry/src/agent-pool.ts
@@ -1,5 +1,5 @@
 /** The agents that this entry keeps links to, found in the platform's instance list. */
-import type { Clock, InstanceId, Millis, ServiceId, TargetId } from '@hibiscushill/base';
+import type { Clock, InstanceId, Millis, MonoTime, ServiceId, TargetId } from '@hibiscushill/base';
 import type { InstanceList, ListedInstance } from '@hibiscushill/platform';
 import { type Ejector, type TargetView, chooseSubset } from '@hibiscushill/routing';
 
@@ -7,6 +7,9 @@
 
 const POLL_MS: Millis = 500;
 
+/** For how long the newest agent of each target is remembered, in milliseconds. */
+const PEERS_MS: Millis = 25;
+
 /** What a pool needs. */
 export interface AgentPoolOptions {
   readonly clock: Clock;
@@ -20,12 +23,19 @@
   readonly onClosed: (peer: AgentPeer) => void;
 }
 
+interface CachedPeers {
+  readonly at: MonoTime;
+  readonly peers: ReadonlyMap<TargetId, AgentPeer>;
+}
+
 /** Links to agents, opened and closed as the list changes. */
 export class AgentPool {
   readonly #options: AgentPoolOptions;
 
   readonly #peers = new Map<string, AgentPeer>();
 
+  readonly #newest = new Map<ServiceId, CachedPeers>();
+
   readonly #ejectors = new Map<ServiceId, Ejector>();
 
   /** @param options - the list and how peers are made */
@@ -67,7 +77,6 @@
   targets(service: ServiceId): TargetView[] {
     const ejector = this.ejector(service);
     const peers = this.#newestPeers(service);
-    ejector.setTargets([...peers.keys()]);
     return [...peers].flatMap(([target, peer]) => peer.view(ejector.isEjected(target)) ?? []);
   }
 
@@ -82,6 +91,18 @@
     return this.#newestPeers(service).get(target);
   }
 
+  /**
+   * Tells whether links to a service's targets are being opened again.
+   *
+   * @param service - the service
+   * @returns true when a link is down or an agent not ready, for a reason that may pass at once
+   */
+  isReconnecting(service: ServiceId): boolean {
+    return this.peers.some(
+      (peer) => peer.service === service && !peer.load.leaving && !(peer.isUp && peer.load.ready),
+    );
+  }
+
   /** The ejector of a service's targets. */
   ejector(service: ServiceId): Ejector {
     const known = this.#ejectors.get(service);
@@ -91,7 +112,18 @@
     return created;
   }
 
-  #newestPeers(service: ServiceId): Map<TargetId, AgentPeer> {
+  // The choice of a target asks for it at every request; it changes with the list and with hellos.
+  #newestPeers(service: ServiceId): ReadonlyMap<TargetId, AgentPeer> {
+    const now = this.#options.clock.mono();
+    const cached = this.#newest.get(service);
+    if (cached !== undefined && now - cached.at < PEERS_MS) return cached.peers;
+    const peers = this.#findNewestPeers(service);
+    this.#newest.set(service, { at: now, peers });
+    this.ejector(service).setTargets([...peers.keys()]);
+    return peers;
+  }
+
+  #findNewestPeers(service: ServiceId): Map<TargetId, AgentPeer> {
     const newest = new Map<TargetId, AgentPeer>();
     this.#peers.forEach((peer) => {
       if (peer.hello === undefined || peer.service !== service) return;
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -75,6 +75,11 @@
 
 const NO_TARGET_RETRY_MS: Millis = 500;
 
+/** How long a request waits for links that are being opened, in milliseconds. */
+const LINK_WAIT_MS: Millis = 750;
+
+const LINK_POLL_MS: Millis = 20;
+
 /** How long idempotent work waits for a broken link before it goes elsewhere too. */
 const RESCUE_AFTER_MS: Millis = 250;
 
@@ -136,7 +141,7 @@
     const state = new Dispatch(req);
     this.#options.retryBudget.recordFirstTry(req.service);
     for (;;) {
-      const started = this.#start(state);
+      const started = await this.#startWhenPossible(state);
       if (started.isErr()) return err(this.#describe(state, started.error));
       const outcome = await this.#awaitHead(state);
       if (outcome.isOk()) return outcome;
@@ -158,6 +163,19 @@
     return true;
   }
 
+  // After a pause all links are down for a moment, and come back together.
+  async #startWhenPossible(state: Dispatch): Promise<Result<OutgoingAttempt, Failure>> {
+    const { clock, pool } = this.#options;
+    const { service, deadline, signal } = state.req;
+    const until = Math.min(deadline, clock.mono() + LINK_WAIT_MS);
+    for (;;) {
+      const started = this.#start(state);
+      const isWorthwhile = !signal.aborted && clock.mono() < until && pool.isReconnecting(service);
+      if (started.isOk() || !isWorthwhile) return started;
+      await clock.sleep(LINK_POLL_MS);
+    }
+  }
+
   #start(state: Dispatch): Result<OutgoingAttempt, Failure> {
     const { req } = state;
     for (;;) {
@@ -317,6 +335,7 @@
     remove(state.open, attempt);
     attempt.acknowledge(false);
     state.noteFailure(failure);
+    if (MAY_COME_BACK.has(failure.code)) state.tried.delete(attempt.target);
     if (isTargetFault(failure.code)) this.#record(state, attempt, 'failed');
     return state.open.length > 0 ? undefined : err(failure);
   }
@@ -379,6 +398,13 @@
   'answer_broken',
 ]);
 
+// The target lost the attempt, not the ability to run it.
+const MAY_COME_BACK: ReadonlySet<CodeName> = new Set<CodeName>([
+  'attempt_revoked',
+  'incarnation_stale',
+  'config_stale',
+]);
+
 function isTargetFault(code: CodeName): boolean {
   return TARGET_FAULTS.has(code);
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,9 @@
   type TrainerId,
   createFailure,
   type IncarnationId,
+  type Millis,
+  type MonoTime,
+  type ServiceId,
   Metrics,
   type RandomSource,
   SystemClock,
@@ -53,6 +56,7 @@
 
 const DRAIN_POLL_MS = 20;
 const LINGER_MS = 300;
+const ESTIMATE_MS = 20;
 
 /** Where an entry is reached. */
 export interface EntryAddresses {
@@ -110,6 +114,8 @@
 
   readonly #waits = new WaitEstimator();
 
+  readonly #estimates = new Map<ServiceId, { at: MonoTime; waitMs: Millis }>();
+
   readonly #app: FastifyInstance;
 
   readonly #stopping = new AbortController();
@@ -290,7 +296,7 @@
       admission: this.#policies.admission,
       dispatcher: this.#dispatcher,
       open: this.#open,
-      estimateWait: (service) => this.#waits.estimate(this.#pool.targets(service)),
+      estimateWait: (service) => this.#estimateWait(service),
       isStopping,
       demand: this.#meter,
       onServed: (served) => this.#usage.add(served),
@@ -409,6 +415,16 @@
     this.#waits.takeReport(peer.target, { queued, served, atMono: this.#clock.mono() });
   }
 
+  // Refusals must stay cheap: under a flood the estimate serves many requests.
+  #estimateWait(service: ServiceId): Millis {
+    const now = this.#clock.mono();
+    const known = this.#estimates.get(service);
+    if (known !== undefined && now - known.at < ESTIMATE_MS) return known.waitMs;
+    const waitMs = this.#waits.estimate(this.#pool.targets(service));
+    this.#estimates.set(service, { at: now, waitMs });
+    return waitMs;
+  }
+
   #noteSilence(peer: AgentPeer): void {
     if (peer.service === undefined || peer.target === undefined) return;
     this.#pool.ejector(peer.service).recordOutcome(peer.target, 'silent');
--- a/packages/entry/src/outgoing-attempt.ts
+++ b/packages/entry/src/outgoing-attempt.ts
@@ -70,6 +70,8 @@
 
   #tokens = 0;
 
+  #takenBytes = 0;
+
   /**
    * @param run - how the attempt is named in frames
    * @param target - the target
@@ -125,9 +127,16 @@
     }
   }
 
-  /** Gives the agent room for as many bytes more. */
+  /**
+   * Notes that the caller has taken bytes. The agent is told of them half a window at a time.
+   *
+   * @param bytes - how many
+   */
   credit(bytes: number): void {
-    this.#link.credit(this.id, bytes);
+    this.#takenBytes += bytes;
+    if (this.#takenBytes < WINDOW_BYTES / 2) return;
+    this.#link.credit(this.id, this.#takenBytes);
+    this.#takenBytes = 0;
   }
 
   /** Lets the agent forget the attempt. */
@@ -208,6 +217,8 @@
   /** Notes that a new link has asked for the rest of the answer. */
   takeUp(): void {
     this.#isDown = false;
+    // The new link's window begins empty.
+    this.#takenBytes = 0;
   }
 
   /** Notes that the agent, or its memory of the attempt, is gone. */
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -38,6 +38,7 @@
 const FRESH_POLL_MS: Millis = 20;
 const PRIORITY_NORMAL = 1;
 const MOST_KEY_LENGTH = 200;
+const KEY_MISPLACED = 'the key stands outside its header';
 
 /** What the routes need. */
 export interface ServiceRoutesDeps {
@@ -121,6 +122,12 @@
       return;
     }
     const admission = this.#admit(arrival.value);
+    if (admission.isOk() && isExposed(req, arrival.value)) {
+      admission.value?.settle(0);
+      admission.value?.release();
+      this.#refuse(req, res, createFailure('request_invalid', { detail: KEY_MISPLACED }));
+      return;
+    }
     if (admission.isErr()) this.#deps.demand.recordRefusal(arrival.value.service.name);
     if (admission.isErr()) this.#refuse(req, res, admission.error);
     else await this.#serve(req, res, arrival.value, admission.value);
@@ -145,10 +152,6 @@
       identify(view.value, req, target.route).andThen((caller) => {
         const id = req.id as RequestId;
         const body = Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0);
-        const headers = toTargetHeaders(req.headers, id);
-        if (isKeyExposed(req.headers.authorization, req.url, headers, body)) {
-          return refuse('request_invalid', undefined, 'the key stands outside its header');
-        }
         const estimate =
           target.service.kind === 'model'
             ? estimateModelRequest(body)
@@ -203,6 +206,7 @@
       const job = { req, res, dispatch, answer: answer.value };
       tokens = await this.#forward(arrival, job);
     } finally {
+      res.raw.off('close', onClose);
       demand.recordEnd(arrival.service.name, clock.mono() - startedAt, tokens);
       this.#deps.open.remove(arrival.id);
       admission?.settle(tokens);
@@ -279,6 +283,11 @@
   });
 }
 
+function isExposed(req: FastifyRequest, { id, body }: Arrival): boolean {
+  const headers = toTargetHeaders(req.headers, id);
+  return isKeyExposed(req.headers.authorization, req.url, headers, body);
+}
+
 function refuse(name: Failure['code'], retryAfterMs?: Millis, detail = ''): Result<never, Failure> {
   return err(createFailure(name, { detail, ...(retryAfterMs !== undefined && { retryAfterMs }) }));
 }
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -75,9 +75,9 @@
   }
 
   async #send(call: HttpCall): Promise<Result<HttpAnswer, Failure>> {
-    const deadline = AbortSignal.timeout(
-      call.timeoutMs ?? this.#options.timeoutMs ?? CALL_TIMEOUT_MS,
-    );
+    const timeoutMs = call.timeoutMs ?? this.#options.timeoutMs ?? CALL_TIMEOUT_MS;
+    // A deadline that was worked out may be a fraction, which `timeout` throws at.
+    const deadline = AbortSignal.timeout(Math.max(0, Math.ceil(timeoutMs)));
     const signal = call.signal ? AbortSignal.any([deadline, call.signal]) : deadline;
     const pool = this.#pool;
     try {
