--- a/packages/entry/src/trainer-desks.ts
+++ b/packages/entry/src/trainer-desks.ts
@@ -109,7 +109,7 @@
       append: (records) => options.log.append(stream, records),
       runner: options.createRunner(() => declared().service),
       stragglers: new TailHedging(),
-      excluded: () => this.swapper.excluded(() => false),
+      excluded: () => this.swapper.excluded((version) => this.desk.isTooOld(version)),
     });
     this.#tail.subscribe((record) => this.desk.apply(record));
     this.#tail.onTrimmed(() => this.desk.trimmed());
--- a/packages/rollout/src/desk.ts
+++ b/packages/rollout/src/desk.ts
@@ -26,7 +26,7 @@
 import { Notifier } from './notifier';
 import { DEFAULT_OWNER_BOUNDS, OwnerTerm, type OwnerBounds } from './owner-term';
 import { RECORD_KINDS, type SampleGroup } from './records';
-import type { PublishedVersion } from './staleness';
+import { isStale, measureStaleness, type PublishedVersion } from './staleness';
 import type { SamplePage } from './sample-page';
 import { NoHedging } from './stragglers';
 
@@ -75,6 +75,19 @@
     return this.#owner().isOk();
   }
 
+  /**
+   * Tells whether a sample that a version begins now would be too old already.
+   *
+   * @param version - the version that a target serves
+   * @returns true for a target that must get no samples before its swap
+   */
+  isTooOld(version: WeightVersion): boolean {
+    const { clock, trainer } = this.#deps;
+    const segments = [{ version, fromToken: 0, toToken: 1 }];
+    const age = measureStaleness(segments, this.#history.versions, clock.wall());
+    return isStale(age, trainer().staleness);
+  }
+
   /** Takes the next record of the trainer's stream. Every record goes through here, in order. */
   apply(record: LogRecord): void {
     this.#history.apply(record);
--- a/packages/rollout/src/owner-term.ts
+++ b/packages/rollout/src/owner-term.ts
@@ -30,10 +30,12 @@
   readonly running: number;
   /** The memory that unread samples of a trainer may take before no more are started, in bytes. */
   readonly heldBytes: number;
-  /** The most steps of a trainer that are open at once. */
+  /** The most steps of a trainer that are open and not wholly delivered. */
   readonly openSteps: number;
   /** How long a step lives on when its trainer doesn't ask for it, in milliseconds. */
   readonly idleMs: Millis;
+  /** How long a step lives on after its last page, for a trainer that asks again, in milliseconds. */
+  readonly lingerMs: Millis;
   /** How long numbers are gathered for one record, in milliseconds. */
   readonly batchMs: Millis;
   /** The most samples in one record. */
@@ -51,6 +53,7 @@
   heldBytes: 64 * 1024 * 1024,
   openSteps: 4,
   idleMs: 600_000,
+  lingerMs: 60_000,
   batchMs: 250,
   batchSamples: 256,
   tickMs: 250,
@@ -128,7 +131,8 @@
     groups: readonly SampleGroup[],
     digest: string,
   ): Promise<Result<void, Failure>> {
-    if (this.#runs.size >= this.#deps.bounds.openSteps) {
+    const open = [...this.#runs.values()].filter((run) => !run.isDelivered);
+    if (open.length >= this.#deps.bounds.openSteps) {
       this.#deps.metrics.countRefusal('steps_exceeded');
       return err(createFailure('steps_exceeded', { retryAfterMs: 1000 }));
     }
@@ -250,10 +254,11 @@
 
   async #finish(run: StepRun): Promise<void> {
     const { bounds, clock, metrics } = this.#deps;
-    const isExpired = clock.mono() - run.touchedAt > bounds.idleMs;
-    if (this.signal.aborted || !(run.isFinished || isExpired)) return;
+    const idleMs = clock.mono() - run.touchedAt;
+    const isComplete = run.isFinished || (run.isDelivered && idleMs > bounds.lingerMs);
+    if (this.signal.aborted || !(isComplete || idleMs > bounds.idleMs)) return;
     const { step } = run.history;
-    const reason = run.isFinished ? 'complete' : 'expired';
+    const reason = isComplete ? 'complete' : 'expired';
     const written = await this.#write(RECORD_KINDS.done, { step, reason });
     if (written.isErr()) return;
     metrics.count(`rollout.step.${reason}`);
--- a/packages/rollout/src/step-run.ts
+++ b/packages/rollout/src/step-run.ts
@@ -35,6 +35,8 @@
 
   #hedges = 0;
 
+  #isDelivered = false;
+
   #touchedAt: MonoTime;
 
   /**
@@ -73,7 +75,12 @@
     return [...this.#jobs.values()].reduce((sum, job) => sum + job.heldBytes, 0);
   }
 
-  /** Whether every sample has its number and the trainer has read them all. */
+  /** Whether the last page was released, so that the trainer may have no reason to ask again. */
+  get isDelivered(): boolean {
+    return this.#isDelivered;
+  }
+
+  /** Whether every sample has its number and the trainer has confirmed them all. */
   get isFinished(): boolean {
     const { history } = this;
     return history.isWhole && this.#voids.size === 0 && this.#cursor >= history.last;
@@ -217,6 +224,7 @@
     this.#releasedUpTo = Math.max(this.#releasedUpTo, next);
     const { history } = this;
     const done = history.isWhole && this.#voids.size === 0 && next >= history.last;
+    this.#isDelivered ||= done;
     return { step: history.step, samples, voids, next, done, total: history.total };
   }
 
@@ -244,6 +252,7 @@
     const job = this.#jobs.get(sample.id);
     if (!job || this.#voids.has(number) || isNone(job.answer)) return undefined;
     if (this.#deps.isStale(sample.segments)) {
+      this.#isDelivered = false;
       this.#voids.add(number);
       this.#deps.onChange();
       return undefined;
--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -1,6 +1,6 @@
 /** Steps, numbers, crashes of owners and engines, as a trainer sees them. */
-import type { WeightVersion } from '@hibiscushill/base';
-import { isSome } from 'fp-ts/Option';
+import type { StepId, WeightVersion } from '@hibiscushill/base';
+import { isSome, toUndefined } from 'fp-ts/Option';
 import { expect, test } from 'vitest';
 
 import { NoHedging, TailHedging } from '../src';
@@ -166,6 +166,21 @@
   expect(stage.runner.targets.map(({ store }) => store.size)).toEqual([0, 0, 0, 0, 0, 0]);
 });
 
+test('a trainer that stops at the last page may go on to its next steps', async () => {
+  const { owner, stage } = await begin(makeGroups(1, 1), { bounds: { openSteps: 1 } });
+  const steps = ['step-1', 'step-2', 'step-3'] as StepId[];
+  for (const step of steps) {
+    const created = await drive(stage.clock, owner.desk.createStep(step, makeGroups(1, 1)));
+    expect(created.isOk()).toBe(true);
+    const query = { step, after: 0, waitMs: 5000 };
+    const page = await drive(stage.clock, owner.desk.samples(query));
+    expect(page._unsafeUnwrap().done).toBe(true);
+  }
+  await driveUntil(stage.clock, () => owner.desk.history.openSteps().length === 0, 70_000);
+  const ends = steps.map((step) => toUndefined(owner.desk.history.findStep(step))?.end);
+  expect(ends).toEqual(['complete', 'complete', 'complete']);
+});
+
 test('a trainer that vanishes leaves nothing behind', async () => {
   const { owner, stage } = await begin(makeGroups(2, 20, 40), {
     bounds: { idleMs: 5000, heldBytes: 4000, running: 8 },
