--- a/packages/rollout/src/sample-job.ts
+++ b/packages/rollout/src/sample-job.ts
@@ -1,5 +1,5 @@
 /** The owner's work on one sample: its tries, its answer and its number. */
-import type { Clock, Failure, Metrics, MonoTime, TargetId } from '@hibiscushill/base';
+import type { Clock, Failure, Metrics, Millis, MonoTime, TargetId } from '@hibiscushill/base';
 import { type Option, isSome, none, some } from 'fp-ts/Option';
 
 import type { SampleAnswer, SampleRunner, SampleSpec } from './samples';
@@ -52,7 +52,7 @@
 
   #notBefore = 0;
 
-  #tookMs = 0;
+  #effort = { ms: 0, tokens: 0 };
 
   /**
    * @param spec - what to make
@@ -75,9 +75,9 @@
     return this.#answer;
   }
 
-  /** How long the try took that made it, in milliseconds. */
-  get tookMs(): number {
-    return this.#tookMs;
+  /** What the try took that made it: time in milliseconds, and tokens; zero before. */
+  get effort(): { readonly ms: Millis; readonly tokens: number } {
+    return this.#effort;
   }
 
   /** The memory that the answer takes here, in bytes. */
@@ -96,9 +96,10 @@
     return first === undefined ? 0 : this.#deps.clock.mono() - first.startedAt;
   }
 
-  /** How many tokens have been received so far. */
+  /** How many tokens the oldest try has given. */
   get received(): number {
-    return this.#longest()?.tokens.length ?? 0;
+    const [first] = this.#tries;
+    return first === undefined ? 0 : first.progress.received.tokens.length - first.from;
   }
 
   /** Whether the sample waits and its backoff is over. */
@@ -199,7 +200,8 @@
       if (this.#tries.size === 0) this.#phase = 'waiting';
       return;
     }
-    this.#tookMs = this.#deps.clock.mono() - entry.startedAt;
+    const ms = this.#deps.clock.mono() - entry.startedAt;
+    this.#effort = { ms, tokens: answer.tokens.length - entry.from };
     this.hold(answer);
     this.#phase = 'made';
     this.#failures = 0;
--- a/packages/rollout/src/step-run.ts
+++ b/packages/rollout/src/step-run.ts
@@ -1,5 +1,5 @@
 /** The owner's work on one open step. */
-import { createFailure, type MonoTime, type SampleId } from '@hibiscushill/base';
+import { createFailure, type Millis, type MonoTime, type SampleId } from '@hibiscushill/base';
 import type { Trainer } from '@hibiscushill/config';
 import { isNone, isSome } from 'fp-ts/Option';
 import { err } from 'neverthrow';
@@ -108,15 +108,11 @@
           sample: job.spec.sample,
           runningMs: job.runningMs,
           tokens: job.received,
-          maxTokens: job.spec.maxTokens,
           tries: job.tries,
         })),
       waiting: this.#count('waiting'),
       total: jobs.length,
-      finishedMs: jobs
-        .map((job) => job.tookMs)
-        .filter((ms) => ms > 0)
-        .sort((a, b) => a - b),
+      pace: meanPace(jobs),
       hedges: this.#hedges,
     });
     chosen.forEach((sample) => this.#jobs.get(sample)?.start());
@@ -296,3 +292,9 @@
   const digest = digestRun(job.answer.value);
   return [{ id: job.spec.sample, digest, segments: [...segments], tokens: tokens.length, payload }];
 }
+
+function meanPace(jobs: readonly SampleJob[]): Millis {
+  const made = jobs.map((job) => job.effort).filter(({ tokens }) => tokens > 0);
+  const tokens = made.reduce((sum, effort) => sum + effort.tokens, 0);
+  return made.reduce((sum, effort) => sum + effort.ms, 0) / Math.max(1, tokens);
+}
--- a/packages/rollout/src/stragglers.ts
+++ b/packages/rollout/src/stragglers.ts
@@ -6,8 +6,8 @@
   readonly sample: SampleId;
   /** How long its oldest try has been running, in milliseconds. */
   readonly runningMs: Millis;
+  /** How many tokens that try has given. */
   readonly tokens: number;
-  readonly maxTokens: number;
   /** How many tries are running at once. */
   readonly tries: number;
 }
@@ -19,8 +19,8 @@
   readonly waiting: number;
   /** How many samples the step has. */
   readonly total: number;
-  /** How long the samples that were made took, in milliseconds, shortest first. */
-  readonly finishedMs: readonly Millis[];
+  /** The mean time for a token of the samples that were made, in milliseconds; zero without any. */
+  readonly pace: Millis;
   /** How many second tries the step has had. */
   readonly hedges: number;
 }
@@ -43,11 +43,11 @@
   }
 }
 
-/** How the last samples of a step are hedged. */
+/** How slow samples at the end of a step are hedged. */
 export interface TailHedgingOptions {
   /** The share of a step's samples that counts as its last. */
   readonly tailShare?: number;
-  /** How many times the median duration a sample may run before it is hedged. */
+  /** How many times the mean time for a token a sample may take before it is hedged. */
   readonly slowdown?: number;
   /** The share of a step's samples that may be hedged in all. */
   readonly budgetShare?: number;
@@ -55,7 +55,7 @@
   readonly leastMs?: Millis;
 }
 
-/** Hedges the slowest of the last samples, within a budget for each step. */
+/** Hedges those of a step's last samples that are slow for their tokens, within a budget a step. */
 export class TailHedging extends StragglerPolicy {
   readonly #tailShare: number;
 
@@ -69,20 +69,20 @@
   constructor(options: TailHedgingOptions = {}) {
     super();
     this.#tailShare = options.tailShare ?? 0.25;
-    this.#slowdown = options.slowdown ?? 1.5;
+    this.#slowdown = options.slowdown ?? 2;
     this.#budgetShare = options.budgetShare ?? 0.1;
-    this.#leastMs = options.leastMs ?? 500;
+    this.#leastMs = options.leastMs ?? 1000;
   }
 
   override choose(view: StragglerView): readonly SampleId[] {
+    // Swaps hold samples up at a step's start; what is slow then isn't slow for long.
     const tail = Math.max(1, Math.ceil(view.total * this.#tailShare));
-    if (view.waiting > 0 || view.running.length > tail) return [];
-    const median = view.finishedMs[Math.floor(view.finishedMs.length / 2)];
-    if (median === undefined) return [];
-    const limit = Math.max(this.#leastMs, median * this.#slowdown);
+    if (view.waiting > 0 || view.running.length > tail || view.pace === 0) return [];
+    const limit = view.pace * this.#slowdown;
     const budget = Math.max(1, Math.ceil(view.total * this.#budgetShare)) - view.hedges;
     return view.running
-      .filter((entry) => entry.tries === 1 && entry.runningMs > limit)
+      .filter((entry) => entry.tries === 1 && entry.runningMs > this.#leastMs)
+      .filter((entry) => entry.runningMs / Math.max(1, entry.tokens) > limit)
       .sort((a, b) => b.runningMs - a.runningMs)
       .slice(0, Math.max(0, budget))
       .map((entry) => entry.sample);
