--- /dev/null
+++ b/packages/rollout/test/fencing.test.ts
@@ -0,0 +1,38 @@
+/** Fencing numbers read from a trainer's stream. */
+import { ManualClock, createId, type RecordId } from '@hibiscushill/base';
+import { DUTY_KINDS } from '@hibiscushill/control';
+import { MemoryLog } from '@hibiscushill/platform';
+import { expect, test } from 'vitest';
+
+import { nameDuty, nameStream, readFencing } from '../src';
+import { TRAINER } from './support';
+
+const STREAM = nameStream(TRAINER.name);
+
+async function append(log: MemoryLog, kind: string, payload: object): Promise<void> {
+  const records = [{ id: createId<RecordId>(), kind, payload }];
+  (await log.append(STREAM, records))._unsafeUnwrap();
+}
+
+function sign(fields: object): object {
+  return { duty: nameDuty(TRAINER.name), holder: 'entry-1', incarnation: 'i1', ...fields };
+}
+
+test('the present claim is the highest fencing number, also of a trimmed stream', async () => {
+  const log = new MemoryLog({ clock: new ManualClock() });
+  expect((await readFencing(log, TRAINER.name))._unsafeUnwrap()).toBe(-1);
+  await append(log, DUTY_KINDS.claim, sign({ after: -1, through: 0 }));
+  await append(log, 'step.done', {});
+  await append(log, DUTY_KINDS.claim, sign({ after: 0, through: 2 }));
+  await append(log, DUTY_KINDS.claim, sign({ after: 0, through: 2 }));
+  expect((await readFencing(log, TRAINER.name))._unsafeUnwrap()).toBe(2);
+  await append(log, DUTY_KINDS.renew, sign({ claim: 2, through: 4 }));
+  log.trim(STREAM, 4);
+  expect((await readFencing(log, TRAINER.name))._unsafeUnwrap()).toBe(2);
+});
+
+test('a log that is down gives no fencing number', async () => {
+  const log = new MemoryLog({ clock: new ManualClock() });
+  log.setFaults({ outage: true });
+  expect((await readFencing(log, TRAINER.name))._unsafeUnwrapErr().code).toBe('platform_down');
+});
