Name no place for an append in doubt that could not be read back

Cause: after an answered repeat of an append in doubt, appendOnce returned the repeat's own offset when the tail could not catch up before the deadline; an earlier try may stand in front of it. Change: it fails with may-have-run then, and a later call goes on from the mark on the tail. Before: test 'names no place for an id in doubt' failed (ok with the repeat's offset).

--- a/packages/platform/src/append-once.ts
+++ b/packages/platform/src/append-once.ts
@@ -78,7 +78,7 @@
       const result = await log.append(stream, records, { timeoutMs });
       if (result.isOk()) {
         // An earlier try may have landed in front of this one: the first appearance counts.
-        if (isDoubtful) await tail.catchUp(deadline.signal);
+        if (isDoubtful && !(await tail.catchUp(deadline.signal))) break;
         return ok(getOrElse(() => result.value)(tail.find(first.id)));
       }
       last = result.error;
--- a/packages/platform/test/log-tail.test.ts
+++ b/packages/platform/test/log-tail.test.ts
@@ -171,6 +171,18 @@
     expect(await storedIds(log)).toEqual(['a']);
   });
 
+  it('names no place for an id in doubt that it could not read back', async () => {
+    const { log, tail, clock, random } = setUp({ outageAfter: 'answered' });
+    tail.start();
+    tail.markDoubtful('a' as RecordId);
+    const options = { clock, random, deadlineMs: 1_000 };
+    const result = await appendOnce(log, tail, STREAM, [record('a')], options);
+    expect(result.isErr() && result.error).toMatchObject({
+      code: 'platform_down',
+      run: 'may-have-run',
+    });
+  });
+
   it('says not-run when the log was down from the start', async () => {
     const { log, tail, clock, random } = setUp();
     tail.start();
