--- a/packages/rollout/src/step-run.ts
+++ b/packages/rollout/src/step-run.ts
@@ -1,5 +1,5 @@
 /** The owner's work on one open step. */
-import { createFailure, type MonoTime, type SampleId } from '@hibiscushill/base';
+import { createFailure, type Millis, type MonoTime, type SampleId } from '@hibiscushill/base';
 import type { Trainer } from '@hibiscushill/config';
 import { isNone, isSome } from 'fp-ts/Option';
 import { err } from 'neverthrow';
@@ -35,6 +35,8 @@
 
   #hedges = 0;
 
+  #isDelivered = false;
+
   #touchedAt: MonoTime;
 
   /**
@@ -73,7 +75,12 @@
     return [...this.#jobs.values()].reduce((sum, job) => sum + job.heldBytes, 0);
   }
 
-  /** Whether every sample has its number and the trainer has read them all. */
+  /** Whether the last page was released, so that the trainer may have no reason to ask again. */
+  get isDelivered(): boolean {
+    return this.#isDelivered;
+  }
+
+  /** Whether every sample has its number and the trainer has confirmed them all. */
   get isFinished(): boolean {
     const { history } = this;
     return history.isWhole && this.#voids.size === 0 && this.#cursor >= history.last;
@@ -101,15 +108,11 @@
           sample: job.spec.sample,
           runningMs: job.runningMs,
           tokens: job.received,
-          maxTokens: job.spec.maxTokens,
           tries: job.tries,
         })),
       waiting: this.#count('waiting'),
       total: jobs.length,
-      finishedMs: jobs
-        .map((job) => job.tookMs)
-        .filter((ms) => ms > 0)
-        .sort((a, b) => a - b),
+      pace: meanPace(jobs),
       hedges: this.#hedges,
     });
     chosen.forEach((sample) => this.#jobs.get(sample)?.start());
@@ -217,6 +220,7 @@
     this.#releasedUpTo = Math.max(this.#releasedUpTo, next);
     const { history } = this;
     const done = history.isWhole && this.#voids.size === 0 && next >= history.last;
+    this.#isDelivered ||= done;
     return { step: history.step, samples, voids, next, done, total: history.total };
   }
 
@@ -244,6 +248,7 @@
     const job = this.#jobs.get(sample.id);
     if (!job || this.#voids.has(number) || isNone(job.answer)) return undefined;
     if (this.#deps.isStale(sample.segments)) {
+      this.#isDelivered = false;
       this.#voids.add(number);
       this.#deps.onChange();
       return undefined;
@@ -287,3 +292,9 @@
   const digest = digestRun(job.answer.value);
   return [{ id: job.spec.sample, digest, segments: [...segments], tokens: tokens.length, payload }];
 }
+
+function meanPace(jobs: readonly SampleJob[]): Millis {
+  const made = jobs.map((job) => job.effort).filter(({ tokens }) => tokens > 0);
+  const tokens = made.reduce((sum, effort) => sum + effort.tokens, 0);
+  return made.reduce((sum, effort) => sum + effort.ms, 0) / Math.max(1, tokens);
+}
