--- a/packages/rollout/test/desk.test.ts
+++ b/packages/rollout/test/desk.test.ts
@@ -145,6 +145,27 @@
   expect(kept).toBeLessThanOrEqual(10);
 });
 
+test('a loser that ends in spite of its cancel is let go of and changes nothing', async () => {
+  const stage = new Stage({ targets: 6 });
+  stage.runner.ignoresCancel = true;
+  const [slow] = stage.runner.targets;
+  if (slow) slow.tokenMs = 400;
+  const owner = await stage.startOwner({ stragglers: new TailHedging({ leastMs: 100 }) });
+  const trainer = new TestTrainer();
+  await drive(stage.clock, owner.desk.createStep(STEP, makeGroups(1, 10)));
+  await driveUntil(stage.clock, () => isWhole(owner));
+  const query = { step: STEP, after: 0, waitMs: 0 };
+  const first = await drive(stage.clock, owner.desk.samples(query));
+  await driveUntil(stage.clock, () => stage.runner.targets.every(({ running }) => running === 0));
+  const second = await drive(stage.clock, owner.desk.samples(query));
+  expect(second._unsafeUnwrap()).toEqual(first._unsafeUnwrap());
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  await trainer.ask(stage, owner);
+  await driveUntil(stage.clock, () => owner.desk.history.openSteps().length === 0);
+  expect(stage.runner.ran.length).toBeGreaterThan(10);
+  expect(stage.runner.targets.map(({ store }) => store.size)).toEqual([0, 0, 0, 0, 0, 0]);
+});
+
 test('a trainer that vanishes leaves nothing behind', async () => {
   const { owner, stage } = await begin(makeGroups(2, 20, 40), {
     bounds: { idleMs: 5000, heldBytes: 4000, running: 8 },
@@ -163,6 +184,48 @@
   expect(late._unsafeUnwrapErr().code).toBe('step_expired');
 });
 
+test.each([{ owner: 'the same owner' }, { owner: 'a new owner' }])(
+  'samples that were taken but not confirmed are not made again by $owner',
+  async ({ owner: who }) => {
+    const { owner, stage, trainer } = await begin(makeGroups(1, 4), { versions: 0 });
+    await driveUntil(stage.clock, () => isWhole(owner));
+    await trainer.ask(stage, owner);
+    expect(trainer.taken).toHaveLength(4);
+    await stage.publish(owner, 1);
+    if (who === 'a new owner') await owner.kill();
+    const next = who === 'a new owner' ? await stage.startOwner() : owner;
+    const later = stage.clock.mono() + 3000;
+    await driveUntil(stage.clock, () => stage.clock.mono() > later);
+    trainer.isDone = false;
+    while (!trainer.isDone) await trainer.ask(stage, next);
+    expect(findCursorFaults(trainer.taken, trainer.voids, listIds(1, 4))).toEqual([]);
+  },
+);
+
+test('a sample that waited unread and is too old when asked again gets another number', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 2), { versions: 0 });
+  await driveUntil(stage.clock, () => isWhole(owner));
+  const lost = new TestTrainer();
+  await lost.ask(stage, owner);
+  await stage.publish(owner, 1);
+  while (!trainer.isDone) await trainer.ask(stage, owner);
+  expect(trainer.voids).toEqual([1, 2]);
+  expect(findStaleFaults(trainer.taken, 0)).toEqual([]);
+});
+
+test('an agent that is out of reach for a while does not void its payloads', async () => {
+  const { owner, stage, trainer } = await begin(makeGroups(1, 3));
+  await driveUntil(stage.clock, () => isWhole(owner));
+  await owner.kill();
+  const next = await stage.startOwner();
+  stage.runner.isCutOff = true;
+  await trainer.ask(stage, next, 3000);
+  expect(trainer.taken).toEqual([]);
+  stage.runner.isCutOff = false;
+  while (!trainer.isDone) await trainer.ask(stage, next);
+  expect(trainer.voids).toEqual([]);
+});
+
 test('a payload lost with its owner and its agent gets another number', async () => {
   const { owner, stage, trainer } = await begin(makeGroups(1, 3));
   await driveUntil(stage.clock, () => isWhole(owner));
