Let a stand-in do without its history

Cause: the plain service keeps every call with its headers and throws at 500,000 entries; a load run of a few minutes would hit that, and its memory would weigh on the figures. Change: the setting keepHistory, true when not set. After: the tests of fakes pass, with one for this.

--- a/packages/fakes/src/history.ts
+++ b/packages/fakes/src/history.ts
@@ -15,6 +15,9 @@
 
   readonly #entries: (HistoryEntry & { at: number })[] = [];
 
+  /** Whether further entries are kept. */
+  isKept = true;
+
   /** @param clock - stamps the entries with wall time */
   constructor(clock: Clock = new SystemClock()) {
     this.#clock = clock;
@@ -31,6 +34,7 @@
    * @param entry - what was seen
    */
   add(entry: HistoryEntry): void {
+    if (!this.isKept) return;
     if (this.#entries.length >= CAPACITY) throw new Error('The history is full.');
     this.#entries.push({ at: this.#clock.wall(), ...entry });
   }
--- a/packages/fakes/src/stand-in.ts
+++ b/packages/fakes/src/stand-in.ts
@@ -15,6 +15,8 @@
   slowMs: z.number().min(0),
   /** The share of calls that take effect and get no answer. */
   loseAnswers: z.number().min(0).max(1),
+  /** Whether the history is kept; a long load run does without. */
+  keepHistory: z.boolean(),
 });
 
 /** Faults that every HTTP stand-in has. */
@@ -26,6 +28,7 @@
   silent: false,
   slowMs: 0,
   loseAnswers: 0,
+  keepHistory: true,
 };
 
 /** What a stand-in needs to begin. */
@@ -57,6 +60,7 @@
     this.random = new RandomSource(options.seed ?? 1);
     this.#schema = schema;
     this.#settings = { ...defaults, ...schema.parse(options.settings ?? {}) };
+    this.history.isKept = this.#settings.keepHistory;
   }
 
   /** The settings in force. */
@@ -71,6 +75,7 @@
    */
   change(settings: unknown): void {
     this.#settings = { ...this.#settings, ...this.#schema.parse(settings) };
+    this.history.isKept = this.#settings.keepHistory;
   }
 
   /**
--- a/packages/fakes/test/targets.test.ts
+++ b/packages/fakes/test/targets.test.ts
@@ -141,6 +141,16 @@
     expect(calls).toMatchObject([{ headers }, { headers }]);
   });
 
+  it('keeps no history when told so', async () => {
+    const plain = new FakePlain({ settings: { keepHistory: false } });
+    const server = own(await FakeServer.start([plain]));
+    await (await fetch(`${server.url}/lots/a`)).text();
+    expect(plain.report()).toEqual([]);
+    plain.change({ keepHistory: true });
+    await (await fetch(`${server.url}/lots/a`)).text();
+    expect(plain.report()).toHaveLength(1);
+  });
+
   it('takes effect also when the answer is lost', async () => {
     const plain = new FakePlain({ settings: { loseAnswers: 1 } });
     const server = own(await FakeServer.start([plain]));
