--- a/packages/agent/src/attempt.ts
+++ b/packages/agent/src/attempt.ts
@@ -52,6 +52,8 @@
 
   #end: EndFields | undefined;
 
+  #resumeFrom = 0;
+
   #refusal: NotRun | undefined;
 
   #room: (() => void) | undefined;
@@ -142,6 +144,16 @@
     this.#settledAt = now;
   }
 
+  /** The index of the first token that the target will send. */
+  get resumeFrom(): number {
+    return this.#resumeFrom;
+  }
+
+  /** Sets the index of the first token that the target will send. */
+  setResumeFrom(index: number): void {
+    this.#resumeFrom = index;
+  }
+
   /** Adds to the request's body. */
   addBody(data: Buffer): void {
     this.#body.push(data);
--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -7,7 +7,7 @@
   RESULT_CODES,
 } from '@hibiscushill/base';
 import type { Header, Segment } from '@hibiscushill/protocol';
-import { SegmentCollector } from '@hibiscushill/rollout';
+import { SegmentCollector, readResumeFrom } from '@hibiscushill/rollout';
 import type { Dispatcher } from 'undici';
 import xxhash, { type XXHashAPI } from 'xxhash-wasm';
 
@@ -89,6 +89,7 @@
   #send(attempt: Attempt) {
     const { run } = attempt;
     const { body } = attempt;
+    if (run.model) attempt.setResumeFrom(readResumeFrom(body));
     attempt.dropBody();
     return this.#target.send({
       method: run.method,
@@ -113,7 +114,9 @@
   async #receive(attempt: Attempt, answer: Dispatcher.ResponseData): Promise<Outcome> {
     attempt.addHead(answer.statusCode, toHeaders(answer.headers));
     const hash = this.#hash.create64();
-    const collector = attempt.run.model ? new SegmentCollector() : undefined;
+    const collector = attempt.run.model
+      ? new SegmentCollector({ from: attempt.resumeFrom })
+      : undefined;
     try {
       for await (const chunk of answer.body as AsyncIterable<Buffer>) {
         await attempt.waitForRoom();
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -9,9 +9,9 @@
   readSettings,
 } from '@hibiscushill/base';
 import { ConfigStore } from '@hibiscushill/config';
-import { InstanceList, WeightStore } from '@hibiscushill/platform';
+import { HttpLog, InstanceList, WeightStore } from '@hibiscushill/platform';
 import { LinkServer } from '@hibiscushill/protocol';
-import { WeightApplier } from '@hibiscushill/rollout';
+import { WeightApplier, readFencing } from '@hibiscushill/rollout';
 import { FairQueue, FifoQueue } from '@hibiscushill/routing';
 
 import { Agent } from './agent';
@@ -21,7 +21,7 @@
 import { TargetClient } from './target-client';
 import { WeightDesk } from './weight-desk';
 
-const log = createLogger('agent');
+const logger = createLogger('agent');
 
 const NO_VERSION = -1;
 const LEAVING_POLL_MS = 1000;
@@ -79,12 +79,13 @@
   const port = await server.listen(cfg.innerListen);
   void agent.runSweeps(stopping.signal);
   void watchInstanceList(cfg, clock, agent, stopping.signal);
+  void weights.runRefresh(clock, stopping.signal);
   process.on('SIGTERM', () => {
     void drain().then(() => process.exit(0));
   });
   const host = cfg.innerListen.slice(0, cfg.innerListen.lastIndexOf(':'));
   process.stdout.write(`${JSON.stringify({ inner: `${host}:${port}` })}\n`);
-  log.info('Ready for links.', { target: cfg.target, incarnation });
+  logger.info('Ready for links.', { target: cfg.target, incarnation });
 
   async function drain(): Promise<void> {
     agent.leave();
@@ -96,7 +97,7 @@
     server.close();
     await target.close();
     metrics.close();
-    log.info('Stopped.');
+    logger.info('Stopped.');
   }
 
   async function settleUsage(deadline: number): Promise<void> {
@@ -109,6 +110,7 @@
 
 function createWeightDesk(cfg: AgentSettings, clock: SystemClock, metrics: Metrics): WeightDesk {
   const store = new WeightStore({ url: cfg.weightsUrl });
+  const log = new HttpLog({ url: cfg.logUrl });
   return new WeightDesk(
     new WeightApplier({
       clock,
@@ -116,6 +118,7 @@
       engine: new HttpEngineWeights(cfg.targetUrl),
       source: new StoreWeightSource(store),
       random: createRandomSource(),
+      learn: (trainer) => readFencing(log, trainer),
     }),
   );
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -27,6 +27,7 @@
   target: createSetting('target', 'Id of the target beside the agent.', text<TargetId>()),
   service: createSetting('service', 'Service that the target belongs to.', text<ServiceId>()),
   targetUrl: createSetting('target-url', 'Base URL of the target.', z.url()),
+  logUrl: createSetting('log-url', "Base URL of the platform's log.", z.url()),
   instancesUrl: createSetting('instances-url', 'Base URL of the instance list.', z.url()),
   weightsUrl: createSetting('weights-url', 'Base URL of the weight store.', z.url()),
   slots: createSetting(
--- a/packages/agent/src/weight-desk.ts
+++ b/packages/agent/src/weight-desk.ts
@@ -1,8 +1,10 @@
 /** Weight orders that arrive over links, and their answers. */
 import {
+  type Clock,
   type Failure,
   type FencingNumber,
   RESULT_CODES,
+  type Millis,
   type RecordId,
   type TrainerId,
   type WeightVersion,
@@ -12,6 +14,7 @@
 import type { Result } from 'neverthrow';
 
 const NO_FENCING = -1;
+const REFRESH_MS: Millis = 2000;
 
 interface Question {
   readonly order: string;
@@ -32,6 +35,19 @@
     return this.#applier?.versions ?? [];
   }
 
+  /**
+   * Asks the engine again and again what it serves, so that a crash or a late load shows.
+   *
+   * @param clock - the process's clock
+   * @param signal - ends the task
+   */
+  async runRefresh(clock: Clock, signal: AbortSignal): Promise<void> {
+    while (this.#applier !== undefined && !signal.aborted) {
+      await clock.sleep(REFRESH_MS, signal);
+      await this.#applier.refresh();
+    }
+  }
+
   /** Carries an order out and reports on the same session. */
   async takeOrder(session: LinkSession, order: WeightOrder): Promise<void> {
     if (this.#applier === undefined) return;
--- a/packages/proof/src/bench-capacity.ts
+++ b/packages/proof/src/bench-capacity.ts
@@ -141,9 +141,11 @@
 
   async countAppends(): Promise<number> {
     const counts = (await getJson(`${this.#url}/admin/counts`)) as {
-      byKind: Record<string, number>;
+      byKind: Record<string, Record<string, number>>;
     };
-    return Object.values(counts.byKind).reduce((sum, count) => sum + count, 0);
+    return Object.values(counts.byKind)
+      .flatMap((kinds) => Object.values(kinds))
+      .reduce((sum, count) => sum + count, 0);
   }
 
   async stop(): Promise<void> {
@@ -171,7 +173,7 @@
     const agent = await Child.start(target, 'hibiscus-agent', [
       ...['--instance', `agent-${index}`, '--zone', 'ba', '--target', target, '--slots', SLOTS],
       ...['--service', 'models', '--target-url', `http://${this.#engine.ready.listening ?? ''}`],
-      ...['--instances-url', this.#url, '--weights-url', this.#url],
+      ...['--instances-url', this.#url, '--weights-url', this.#url, '--log-url', this.#url],
     ]);
     const address = agent.ready.inner ?? '';
     await this.#register({
--- a/packages/proof/src/cluster.ts
+++ b/packages/proof/src/cluster.ts
@@ -169,6 +169,8 @@
       String(plan.slots),
       '--instances-url',
       this.platformUrl,
+      '--log-url',
+      this.platformUrl,
       '--weights-url',
       this.platformUrl,
       '--inner-listen',
