Check samples against the engines' own records; keep peer connections; say loads once

Cause: nothing checked labels, freshness and delivery over real processes. An entry's cost grew by 1.39 % of a core and 8.9 KiB/s with each further entry: each exchange opened a connection and passed on every entry's demand. Change: 'hibiscus-proof steps' runs three trainers against faults and failing swaps; peers keep their connection until it fails and send their own demand only; an agent's load is sent when it changes; entries read the leaving mark of the instance list, agents every 5 s.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -79,6 +79,8 @@
 
   #loadIsDue = false;
 
+  #lastLoad = '';
+
   /** @param options - the parts */
   constructor(options: AgentOptions) {
     const { clock, config, settings } = options;
@@ -123,7 +125,7 @@
     if (this.#gate.isLeaving) return;
     log.info('The target leaves service.');
     this.#gate.leave();
-    this.#options.broadcast(this.#createLoad());
+    this.#broadcastLoad();
   }
 
   /**
@@ -138,7 +140,7 @@
       this.#giveUpDetached();
       this.#ledger.sweep();
       this.handOverUsage();
-      this.#options.broadcast(this.#createLoad());
+      this.#broadcastLoad();
     }
   }
 
@@ -406,10 +408,19 @@
     this.#loadIsDue = true;
     setImmediate(() => {
       this.#loadIsDue = false;
-      this.#options.broadcast(this.#createLoad());
+      this.#broadcastLoad();
     });
   }
 
+  // Heartbeats show that the agent lives; a load that has not changed says nothing more.
+  #broadcastLoad(): void {
+    const load = this.#createLoad();
+    const text = JSON.stringify(load);
+    if (text === this.#lastLoad) return;
+    this.#lastLoad = text;
+    this.#options.broadcast(load);
+  }
+
   #createLoad(): Load {
     return {
       running: this.#work.running,
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,3 @@
-/** The hibiscus-agent program. */
-export {};
+/** The agent: the program's parts that documents and tests use. */
+export { AGENT_SETTINGS } from './settings';
+export type { AgentSettings } from './settings';
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -24,7 +24,8 @@
 const logger = createLogger('agent');
 
 const NO_VERSION = -1;
-const LEAVING_POLL_MS = 1000;
+// Entries read the list more often; this is for an agent that no entry reaches.
+const LEAVING_POLL_MS = 5000;
 const DRAIN_POLL_MS = 20;
 const LINGER_MS = 200;
 
--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -79,6 +79,8 @@
 
   #isUp = false;
 
+  #isListedLeaving = false;
+
   #load: Load = IDLE_LOAD;
 
   #loadAt: MonoTime;
@@ -132,6 +134,11 @@
     return this.#attempts.size;
   }
 
+  /** Sets whether the platform's list says that the target leaves. */
+  setListedLeaving(isLeaving: boolean): void {
+    this.#isListedLeaving = isLeaving;
+  }
+
   /** Runs the link's task until `close`. */
   run(): Promise<void> {
     return this.#link.run();
@@ -160,7 +167,7 @@
       reported: { running, queued, queuedTokens, slots, atMono: this.#loadAt },
       sentSinceReport: this.#sentSinceLoad,
       endedSinceReport: this.#endedSinceLoad,
-      leaving,
+      leaving: leaving || this.#isListedLeaving,
       ejected: isEjected,
       ready: ready && this.#isUp,
       weights: new Map(
--- a/packages/entry/src/agent-pool.ts
+++ b/packages/entry/src/agent-pool.ts
@@ -28,6 +28,10 @@
   readonly peers: ReadonlyMap<TargetId, AgentPeer>;
 }
 
+function isLeaving(instance: ListedInstance): boolean {
+  return instance.state === 'leaving';
+}
+
 /** Links to agents, opened and closed as the list changes. */
 export class AgentPool {
   readonly #options: AgentPoolOptions;
@@ -139,6 +143,8 @@
     const entries = instances.filter((instance) => instance.role === 'entry');
     const wanted = new Set(this.#chooseAddresses(agents, entries));
     wanted.forEach((address) => this.#open(address));
+    const leaving = new Set(agents.filter(isLeaving).map((agent) => agent.address));
+    this.#peers.forEach((peer) => peer.setListedLeaving(leaving.has(peer.address)));
     this.#peers.forEach((peer) => {
       // What runs at an agent that left the list is finished before its link closes.
       if (!wanted.has(peer.address) && peer.openAttempts === 0) this.#close(peer);
--- a/packages/entry/src/peer-exchange.ts
+++ b/packages/entry/src/peer-exchange.ts
@@ -8,7 +8,7 @@
   TeamId,
 } from '@hibiscushill/base';
 import type { ConfigStore } from '@hibiscushill/config';
-import type { DemandSummary } from '@hibiscushill/control';
+import type { DemandSummary, EntryDemand } from '@hibiscushill/control';
 import type { ListedInstance } from '@hibiscushill/platform';
 import { PeerClient, type PeerMessage } from '@hibiscushill/protocol';
 import type { ShareTracker } from '@hibiscushill/routing';
@@ -47,6 +47,9 @@
 
   #ownAddress = '';
 
+  // Every entry hears every other, so each sends its own demand only.
+  #own: EntryDemand | undefined;
+
   /** @param options - what is exchanged, and addresses to begin with */
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -72,7 +75,7 @@
     wanted.forEach((address) => this.#add(address));
     [...this.#peers.keys()]
       .filter((address) => !wanted.has(address))
-      .forEach((address) => this.#peers.delete(address));
+      .forEach((address) => this.#remove(address));
     this.#options.shares.setEntries(live.map((entry) => entry.id));
   }
 
@@ -83,7 +86,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.#options.demand.merge(this.#options.meter.take(), this.#options.clock.mono());
+      this.#takeOwnDemand();
       await Promise.all([...this.#peers.values()].map((peer) => this.#exchange(peer)));
       await this.#options.clock.sleep(PERIOD_MS, signal);
     }
@@ -100,6 +103,12 @@
     return this.#createMessage(message.configVersion);
   }
 
+  #takeOwnDemand(): void {
+    const { demand, meter, clock } = this.#options;
+    this.#own = meter.take();
+    demand.merge(this.#own, clock.mono());
+  }
+
   async #exchange(peer: KnownPeer): Promise<void> {
     const askedAt = this.#options.clock.mono();
     const answer = await peer.client.exchange(this.#createMessage(peer.version));
@@ -128,10 +137,15 @@
       configVersion: config.version,
       config: update && { version: config.version, update },
       summary: Buffer.from(JSON.stringify({ demands })),
-      demand: Buffer.from(this.#options.demand.encode(this.#options.clock.mono())),
+      demand: Buffer.from(JSON.stringify(this.#own === undefined ? [] : [this.#own])),
     };
   }
 
+  #remove(address: string): void {
+    this.#peers.get(address)?.client.close();
+    this.#peers.delete(address);
+  }
+
   #add(address: string): void {
     if (address === this.#ownAddress || this.#peers.has(address)) return;
     this.#peers.set(address, { client: new PeerClient(address), version: undefined });
--- a/packages/proof/src/example.ts
+++ b/packages/proof/src/example.ts
@@ -6,6 +6,16 @@
 /** The teams of the example; the first is large. */
 export const EXAMPLE_TEAMS = ['harbour', 'orchard', 'valley'] as const;
 
+/** The trainers of the example, each with its team. */
+export const EXAMPLE_TRAINERS = [
+  { trainer: 'rind-notes', team: 'orchard' },
+  { trainer: 'brine-notes', team: 'valley' },
+  { trainer: 'cellar-notes', team: 'harbour' },
+] as const;
+
+/** How many versions a sample may be behind. */
+export const EXAMPLE_STALENESS_VERSIONS = 2;
+
 const ZONES = ['ba', 'nadi'] as const;
 
 /** Options of the example deployment. */
@@ -98,14 +108,12 @@
         ],
       },
     ],
-    trainers: [
-      {
-        name: 'rind-notes',
-        team: 'orchard',
-        service: 'tasting-models',
-        staleness: { versions: 2, ms: 600_000 },
-        swapShare: 0.34,
-      },
-    ],
+    trainers: EXAMPLE_TRAINERS.map(({ trainer, team }) => ({
+      name: trainer,
+      team,
+      service: 'tasting-models',
+      staleness: { versions: EXAMPLE_STALENESS_VERSIONS, ms: 600_000 },
+      swapShare: 0.34,
+    })),
   };
 }
--- a/packages/proof/src/main.ts
+++ b/packages/proof/src/main.ts
@@ -8,6 +8,9 @@
 import type { FaultKind } from './faults';
 import { writeHistory } from './history';
 import { proveRequests } from './request-proof';
+import { proveSteps } from './step-proof';
+
+const MOST_PRINTED = 10;
 
 const program = sade('hibiscus-proof');
 
@@ -32,6 +35,17 @@
   .option('--out', 'Folder for the histories', 'out')
   .action(runRequests);
 
+program
+  .command('steps')
+  .describe('Runs trainers against faults and checks their samples.')
+  .option('--seed', 'First seed', 1)
+  .option('--runs', 'Number of runs, each with the next seed', 1)
+  .option('--faults', 'Faults of a run', 4)
+  .option('--kinds', 'Kinds of faults, separated by commas; all when left out')
+  .option('--span', 'Time over which faults begin, in milliseconds', 10000)
+  .option('--steps', 'Steps of each trainer', 6)
+  .action(runSteps);
+
 program
   .command('bench latency')
   .describe('Measures the entry and agent next to a bare proxy and the target.')
@@ -81,3 +95,33 @@
   process.stdout.write(`${flags.runs} runs, ${broken} promises broken\n`);
   process.exit(broken === 0 ? 0 : 1);
 }
+
+interface StepFlags {
+  seed: number;
+  runs: number;
+  faults: number;
+  kinds?: string;
+  span: number;
+  steps: number;
+}
+
+async function runSteps(flags: StepFlags): Promise<void> {
+  let broken = 0;
+  for (let { seed } = flags; seed < flags.seed + flags.runs; seed += 1) {
+    const result = await proveSteps({
+      seed,
+      faults: flags.faults,
+      spanMs: flags.span,
+      steps: flags.steps,
+      ...(flags.kinds && { kinds: flags.kinds.split(',') as FaultKind[] }),
+    });
+    broken += result.violations.length;
+    const faults = result.faults.map(({ fault, on }) => `${fault} ${on}`).join(', ');
+    process.stdout.write(`seed ${seed}: ${JSON.stringify(result.summary)}\n  faults: ${faults}\n`);
+    result.violations
+      .slice(0, MOST_PRINTED)
+      .forEach((violation) => process.stdout.write(`  BROKEN ${JSON.stringify(violation)}\n`));
+  }
+  process.stdout.write(`${flags.runs} runs, ${broken} promises broken\n`);
+  process.exit(broken === 0 ? 0 : 1);
+}
--- a/packages/proof/src/request-proof.ts
+++ b/packages/proof/src/request-proof.ts
@@ -1,13 +1,13 @@
 /** One run of callers against faults, with every request checker over its history. */
 import { RandomSource } from '@hibiscushill/base';
-import { request } from 'undici';
 
+import { readBackends } from './backends';
 import { type CallPlan, Caller } from './caller';
 import { Cluster, pause, waitFor } from './cluster';
 import { type ExampleOptions, EXAMPLE_TEAMS, createExamplePlan } from './example';
 import { FaultInjector, type FaultKind, planFaults } from './faults';
 import type { CallKind, RunHistory } from './history';
-import { type BackendEvent, type Violation, checkRequests } from './request-checkers';
+import { type Violation, checkRequests } from './request-checkers';
 
 const KINDS: readonly CallKind[] = ['generate', 'look-up', 'order'];
 const SETTLE_MS = 500;
@@ -107,19 +107,6 @@
   };
 }
 
-async function readBackends(cluster: Cluster): Promise<BackendEvent[]> {
-  const texts = await Promise.all(
-    [...cluster.targets.values()].map(async ({ backend }) => {
-      const res = await request(`http://${backend.ready.listening}/admin/history`);
-      return res.body.text();
-    }),
-  );
-  return texts
-    .flatMap((text) => text.trim().split('\n'))
-    .filter((line) => line !== '')
-    .map((line) => JSON.parse(line) as BackendEvent);
-}
-
 function summarize({ calls }: RunHistory): RequestSummary {
   // A call whose connection to its entry broke or that was never answered is told apart below.
   const idempotent = calls.filter((call) => call.kind !== 'order');
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -31,6 +31,8 @@
 
   readonly #timeoutMs: Millis;
 
+  #stub: PeerStub | undefined;
+
   /**
    * @param address - the peer's inner address
    * @param timeoutMs - the deadline of an exchange, in milliseconds
@@ -41,23 +43,32 @@
   }
 
   /**
-   * Exchanges messages over a fresh connection, so that a silent one is never reused.
+   * Exchanges messages. After a failure the next exchange has a new connection, so that a silent one
+   * costs one deadline.
    *
    * @param message - what to say
    * @returns the peer's answer
    */
   exchange(message: PeerMessage): ResultAsync<PeerMessage, Failure> {
-    const stub = new PeerStub(this.address, credentials.createInsecure(), CLIENT_OPTIONS);
+    this.#stub ??= this.#createStub();
+    const stub = this.#stub;
     const answer = new Promise<PeerMessage | undefined>((resolve) => {
       const deadline = Date.now() + this.#timeoutMs;
       stub.exchange(message, new Metadata(), { deadline }, (err, res) => {
-        stub.close();
         resolve(err ? undefined : res);
       });
     });
-    return ResultAsync.fromSafePromise(answer).andThen((res) =>
-      res === undefined ? errAsync(createFailure('target_down')) : okAsync(res),
-    );
+    return ResultAsync.fromSafePromise(answer).andThen((res) => {
+      if (res !== undefined) return okAsync(res);
+      this.close();
+      return errAsync(createFailure('target_down'));
+    });
+  }
+
+  /** Closes the connection; another exchange opens it again. */
+  close(): void {
+    this.#stub?.close();
+    this.#stub = undefined;
   }
 
   /**
@@ -71,7 +82,7 @@
     call: ForwardedCall,
     options: { timeoutMs: Millis; signal: AbortSignal },
   ): ResultAsync<ForwardedReply, Failure> {
-    const stub = new PeerStub(this.address, credentials.createInsecure(), CLIENT_OPTIONS);
+    const stub = this.#createStub();
     const answer = new Promise<ForwardedReply | undefined>((resolve) => {
       const deadline = Date.now() + options.timeoutMs;
       const sent = stub.forward(call, new Metadata(), { deadline }, (err, res) => {
@@ -86,6 +97,10 @@
         : okAsync(res),
     );
   }
+
+  #createStub(): PeerStub {
+    return new PeerStub(this.address, credentials.createInsecure(), CLIENT_OPTIONS);
+  }
 }
 
 /** The server that peers call. */
