Prove key withdrawal, steps and reports over real processes; refuse with a code until the first byte

Cause: a stream whose key was withdrawn before its first byte ended as a closed connection instead of the numbered refusal ('queued' of 'hibiscus-proof keys' failed with 'other side closed'). Change: the head of an answer waits for the first bytes; until then a failure is answered with its code and run.

--- a/packages/entry/src/answer-forwarder.ts
+++ b/packages/entry/src/answer-forwarder.ts
@@ -32,12 +32,27 @@
 
 /** An answer that reached the caller whole. */
 export interface ForwardedAnswer {
+  readonly kind: 'whole';
   readonly request: RequestId;
   readonly tokens: number;
   /** Lets the agent forget the answer; `billed` says whether its usage counts. */
   readonly settle: (billed: boolean) => void;
 }
 
+/** An answer that broke off: the caller's connection was cut. */
+export interface BrokenAnswer {
+  readonly kind: 'broken';
+}
+
+/** An answer that failed before the caller got any of it, who can still be told why. */
+export interface UnsentAnswer {
+  readonly kind: 'unsent';
+  readonly failure: Failure;
+}
+
+/** What became of an answer. */
+export type ForwardOutcome = ForwardedAnswer | BrokenAnswer | UnsentAnswer;
+
 // Ends of an answer that say nothing against the rest of it being made elsewhere.
 const RESUMABLE: ReadonlySet<CodeName> = new Set<CodeName>(['answer_broken', 'outcome_unknown']);
 
@@ -56,12 +71,10 @@
    * Forwards an answer to its end. A caller never gets a clean end of a partial answer.
    *
    * @param job - the answer and where it goes
-   * @returns what the caller got, or undefined when the answer broke off
+   * @returns what became of it
    */
-  async forward(job: ForwardJob): Promise<ForwardedAnswer | undefined> {
-    const { req, res, dispatch, answer } = job;
-    res.hijack();
-    writeHead(res.raw, req, answer, this.#options.isStopping());
+  async forward(job: ForwardJob): Promise<ForwardOutcome> {
+    const { res, dispatch, answer } = job;
     const lines =
       dispatch.isModel && dispatch.isIdempotent && answer.status === HTTP_OK
         ? new ModelLines()
@@ -74,8 +87,9 @@
       const resumed = await this.#resume(dispatch, attempt, failure, lines);
       if (resumed === undefined) {
         this.#options.metrics.count(`broken.${failure.code}`);
+        if (!res.raw.headersSent) return { kind: 'unsent', failure };
         res.raw.destroy();
-        return undefined;
+        return { kind: 'broken' };
       }
       attempt = resumed;
     }
@@ -83,18 +97,22 @@
 
   /** Pipes one attempt's answer. Returns why it broke off, or undefined at its end. */
   async #pipe(
-    { res, dispatch }: ForwardJob,
+    job: ForwardJob,
     attempt: OutgoingAttempt,
     lines: ModelLines | undefined,
   ): Promise<Failure | undefined> {
-    const stop = this.#watch(dispatch, attempt);
+    const { res } = job;
+    const stop = this.#watch(job.dispatch, attempt);
     try {
       for (;;) {
         const event = await attempt.next();
         if (event.kind === 'chunk') {
-          await write(res.raw, lines === undefined ? event.data : lines.push(event.data));
+          const data = lines === undefined ? event.data : lines.push(event.data);
+          if (data.length > 0) this.#sendHead(job);
+          await write(res.raw, data);
           attempt.credit(event.data.length);
         } else if (event.kind === 'end') {
+          this.#sendHead(job);
           res.raw.end(lines?.end());
           return undefined;
         } else if (event.kind === 'failed') {
@@ -106,6 +124,13 @@
     }
   }
 
+  // The head waits for the first bytes: until then a failure can still be answered with its code.
+  #sendHead({ req, res, answer }: ForwardJob): void {
+    if (res.raw.headersSent) return;
+    res.hijack();
+    writeHead(res.raw, req, answer, this.#options.isStopping());
+  }
+
   // Ends the attempt at the deadline, or when the caller or its key is gone.
   #watch({ deadline, signal }: DispatchRequest, attempt: OutgoingAttempt): () => void {
     const end = (code: CodeName): void =>
@@ -153,7 +178,7 @@
 function describe(attempt: OutgoingAttempt, lines: ModelLines | undefined): ForwardedAnswer {
   const { request } = attempt;
   const tokens = Math.max(attempt.tokens, lines?.tokenCount ?? 0);
-  return { request, tokens, settle: (billed) => attempt.acknowledge(billed) };
+  return { kind: 'whole', request, tokens, settle: (billed) => attempt.acknowledge(billed) };
 }
 
 function addResume(body: Buffer, tokens: readonly string[]): Buffer {
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -25,7 +25,7 @@
 import { type Result, err, ok } from 'neverthrow';
 
 import { isKeyExposed, toTargetHeaders } from './caller-headers';
-import { AnswerForwarder, type ForwardJob } from './answer-forwarder';
+import { AnswerForwarder, type ForwardedAnswer } from './answer-forwarder';
 import type { EntryDemandMeter } from './demand-meter';
 import type { DispatchRequest, RequestDispatcher } from './dispatcher';
 import type { OpenRequests } from './open-requests';
@@ -196,15 +196,17 @@
     try {
       const dispatch = this.#createDispatch(req, arrival, ending.signal);
       const answer = await this.#deps.dispatcher.dispatch(dispatch);
-      if (answer.isErr()) {
-        const failure = isCut
-          ? createFailure('key_withdrawn', { run: answer.error.run })
-          : answer.error;
-        this.#refuse(req, res, failure);
-        return;
+      const outcome = answer.isErr()
+        ? ({ kind: 'unsent', failure: answer.error } as const)
+        : await this.#forwarder.forward({ req, res, dispatch, answer: answer.value });
+      if (outcome.kind === 'unsent') {
+        const { failure } = outcome;
+        const named = isCut ? createFailure('key_withdrawn', { run: failure.run }) : failure;
+        this.#refuse(req, res, named);
+      } else if (outcome.kind === 'whole') {
+        tokens = outcome.tokens;
+        this.#finish(arrival, outcome);
       }
-      const job = { req, res, dispatch, answer: answer.value };
-      tokens = await this.#forward(arrival, job);
     } finally {
       res.raw.off('close', onClose);
       demand.recordEnd(arrival.service.name, clock.mono() - startedAt, tokens);
@@ -241,20 +243,13 @@
     };
   }
 
-  /** Forwards an answer. Returns its tokens; zero when it broke off. */
-  async #forward(arrival: Arrival, job: ForwardJob): Promise<number> {
-    const served = await this.#forwarder.forward(job);
-    if (served === undefined) return 0;
-    this.#finish(arrival, served.request, served.tokens);
-    served.settle(arrival.team !== undefined);
-    return served.tokens;
-  }
-
-  #finish(arrival: Arrival, request: RequestId, tokens: number): void {
+  #finish(arrival: Arrival, { request, tokens, settle }: ForwardedAnswer): void {
     const { team, service } = arrival;
     this.#deps.metrics.count('served');
-    if (team === undefined) return;
-    this.#deps.onServed({ request, team: team.name, service: service.name, tokens });
+    if (team !== undefined) {
+      this.#deps.onServed({ request, team: team.name, service: service.name, tokens });
+    }
+    settle(team !== undefined);
   }
 
   #refuse(req: FastifyRequest, res: FastifyReply, failure: Failure): void {
--- a/packages/proof/src/backends.ts
+++ b/packages/proof/src/backends.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici';
 
 import type { Cluster } from './cluster';
+import type { PlatformEvent } from './platform-checkers';
 import type { BackendEvent } from './request-checkers';
 
 /**
@@ -11,14 +12,28 @@
  * @returns the events of all, each stand-in's in their order
  */
 export async function readBackends(cluster: Cluster): Promise<BackendEvent[]> {
-  const texts = await Promise.all(
-    [...cluster.targets.values()].map(async ({ backend }) => {
-      const res = await request(`http://${backend.ready.listening}/admin/history`);
-      return res.body.text();
-    }),
+  const urls = [...cluster.targets.values()].map(
+    ({ backend }) => `http://${backend.ready.listening ?? ''}`,
   );
-  return texts
-    .flatMap((text) => text.trim().split('\n'))
+  const histories = await Promise.all(urls.map((url) => readHistory<BackendEvent>(url)));
+  return histories.flat();
+}
+
+/**
+ * Reads what the platform's stand-in saw.
+ *
+ * @param cluster - the deployment
+ * @returns the events in the order of arrival, service by service
+ */
+export function readPlatform(cluster: Cluster): Promise<PlatformEvent[]> {
+  return readHistory<PlatformEvent>(cluster.platformUrl);
+}
+
+async function readHistory<T>(url: string): Promise<T[]> {
+  const res = await request(`${url}/admin/history`);
+  const text = await res.body.text();
+  return text
+    .split('\n')
     .filter((line) => line !== '')
-    .map((line) => JSON.parse(line) as BackendEvent);
+    .map((line) => JSON.parse(line) as T);
 }
--- a/packages/proof/src/main.ts
+++ b/packages/proof/src/main.ts
@@ -7,6 +7,7 @@
 import { runDemo } from './demo';
 import type { FaultKind } from './faults';
 import { writeHistory } from './history';
+import { KEY_SITUATIONS, proveWithdrawal } from './key-proof';
 import { proveRequests } from './request-proof';
 import { proveSteps } from './step-proof';
 
@@ -46,6 +47,12 @@
   .option('--steps', 'Steps of each trainer', 6)
   .action(runSteps);
 
+program
+  .command('keys')
+  .describe('Withdraws a key under traffic and measures when it stops.')
+  .option('--seed', 'Seed', 1)
+  .action(runKeys);
+
 program
   .command('bench latency')
   .describe('Measures the entry and agent next to a bare proxy and the target.')
@@ -125,3 +132,14 @@
   process.stdout.write(`${flags.runs} runs, ${broken} promises broken\n`);
   process.exit(broken === 0 ? 0 : 1);
 }
+
+async function runKeys(flags: { seed: number }): Promise<void> {
+  let broken = 0;
+  for (const situation of KEY_SITUATIONS) {
+    const result = await proveWithdrawal(situation, flags.seed);
+    broken += result.violations.length;
+    process.stdout.write(`${situation}: last use ${result.lastUseMs} ms after the withdrawal\n`);
+  }
+  process.stdout.write(`${KEY_SITUATIONS.length} situations, ${broken} promises broken\n`);
+  process.exit(broken === 0 ? 0 : 1);
+}
--- a/packages/proof/src/request-proof.ts
+++ b/packages/proof/src/request-proof.ts
@@ -1,7 +1,8 @@
 /** One run of callers against faults, with every request checker over its history. */
 import { RandomSource } from '@hibiscushill/base';
 
-import { readBackends } from './backends';
+import { readBackends, readPlatform } from './backends';
+import { checkPlatform } from './platform-checkers';
 import { type CallPlan, Caller } from './caller';
 import { Cluster, pause, waitFor } from './cluster';
 import { type ExampleOptions, EXAMPLE_TEAMS, createExamplePlan } from './example';
@@ -49,7 +50,14 @@
 export async function proveRequests(options: RequestProofOptions): Promise<RequestProofResult> {
   const { seed, spanMs = 8000, faults = 6 } = options;
   const random = new RandomSource(seed);
-  const plan = createExamplePlan({ seed, engines: 3, plains: 3, entries: 2, ...options.cluster });
+  const plan = createExamplePlan({
+    seed,
+    engines: 3,
+    plains: 3,
+    entries: 2,
+    entryArgs: ['--usage-window-ms', '2000', '--usage-grace-ms', '1000'],
+    ...options.cluster,
+  });
   const cluster = await Cluster.start(plan);
   const history: RunHistory = { seed, calls: [], faults: [] };
   try {
@@ -64,7 +72,10 @@
     await pause(SETTLE_MS);
     const backends = await readBackends(cluster);
     const secrets = [...cluster.keys.values()].map((key) => key.secret);
-    const violations = checkRequests({ calls: history.calls, backends, secrets });
+    const violations = [
+      ...checkRequests({ calls: history.calls, backends, secrets }),
+      ...checkPlatform(await readPlatform(cluster)),
+    ];
     return { history, violations, summary: summarize(history) };
   } finally {
     await cluster.stop();
--- a/packages/proof/src/step-proof.ts
+++ b/packages/proof/src/step-proof.ts
@@ -97,6 +97,8 @@
       got += page.samples.length;
       after = page.next ?? after;
       if (page.done && got < samples) return;
+      // The cursor's passing the last sample ends the step.
+      if (got >= samples) await this.#client.page(step, after, 0);
     }
   }
 }
--- a/packages/proof/src/trainer-client.ts
+++ b/packages/proof/src/trainer-client.ts
@@ -67,8 +67,8 @@
   }
 
   /** Reads a page of samples after a cursor. */
-  async page(step: string, after: number): Promise<Page> {
-    const query = `after=${after}&waitMs=${WAIT_MS}`;
+  async page(step: string, after: number, waitMs = WAIT_MS): Promise<Page> {
+    const query = `after=${after}&waitMs=${waitMs}`;
     return (await this.#retry('GET', `${this.#path}/steps/${step}/samples?${query}`)) as Page;
   }
 
