--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -18,7 +18,14 @@
   createId,
 } from '@hibiscushill/base';
 import type { Header } from '@hibiscushill/protocol';
-import type { HedgePolicy, RetryBudget, RetryPolicy, TargetPolicy } from '@hibiscushill/routing';
+import {
+  type HedgePolicy,
+  RendezvousKey,
+  type RetryBudget,
+  type RetryPolicy,
+  type TargetPolicy,
+  type TargetView,
+} from '@hibiscushill/routing';
 import { isNone, isSome } from 'fp-ts/Option';
 import { type Result, err, ok } from 'neverthrow';
 
@@ -194,7 +201,8 @@
 
   #choose({ req, tried }: Dispatch): TargetId | undefined {
     const targets = this.#options.pool.targets(req.service);
-    const affinityKey = req.idempotencyKey === '' ? req.affinityKey : undefined;
+    if (req.idempotencyKey !== '') return chooseHome(req, targets, tried);
+    const { affinityKey } = req;
     const chosen = this.#options.targetPolicy.choose(
       {
         service: req.service,
@@ -385,13 +393,28 @@
 
   #createNoTarget(state: Dispatch): Failure {
     if (state.lastFailure !== undefined) return state.lastFailure;
+    // The target that may have run the key's first request can't be asked.
+    const run = state.req.idempotencyKey === '' ? 'not-run' : 'may-have-run';
     return createFailure('no_target', {
+      run,
       detail: `${state.attempts} tried`,
       retryAfterMs: NO_TARGET_RETRY_MS,
     });
   }
 }
 
+// Every request with the same idempotency key goes to the same target, which remembers the first.
+function chooseHome(
+  req: DispatchRequest,
+  targets: readonly TargetView[],
+  tried: ReadonlySet<TargetId>,
+): TargetId | undefined {
+  const key = new RendezvousKey(`${req.team}/${req.idempotencyKey}`);
+  const ranked = [...targets].sort((a, b) => key.score(b.id) - key.score(a.id));
+  const home = ranked.find((target) => !target.leaving);
+  return home !== undefined && home.ready && !tried.has(home.id) ? home.id : undefined;
+}
+
 const TARGET_FAULTS: ReadonlySet<CodeName> = new Set<CodeName>([
   'target_down',
   'outcome_unknown',
--- a/packages/proof/src/demo.ts
+++ b/packages/proof/src/demo.ts
@@ -20,7 +20,7 @@
  * @returns whether everything went well
  */
 export async function runDemo(options: { serve: boolean }): Promise<boolean> {
-  const cluster = await Cluster.start(createExamplePlan({ seed: SEED }));
+  const cluster = await Cluster.start(createExamplePlan({ seed: SEED, plains: 2 }));
   try {
     const failures = await runSteps(cluster);
     print(failures === 0 ? 'The demo went well.' : `${failures} steps of the demo failed.`);
