--- a/packages/agent/src/attempt.ts
+++ b/packages/agent/src/attempt.ts
@@ -52,18 +52,29 @@
 
   #end: EndFields | undefined;
 
+  #resumeFrom = 0;
+
   #refusal: NotRun | undefined;
 
   #room: (() => void) | undefined;
 
   readonly #followers: Attempt[] = [];
 
+  readonly #onStored: (bytes: number) => void;
+
   /**
    * @param run - the entry's frame
    * @param session - the entry's session
    * @param deadline - when the caller stops waiting
+   * @param onStored - told of bytes that are held from now on, or no longer
    */
-  constructor(run: Run, session: LinkSession, deadline: MonoTime) {
+  constructor(
+    run: Run,
+    session: LinkSession,
+    deadline: MonoTime,
+    onStored: (bytes: number) => void = () => undefined,
+  ) {
+    this.#onStored = onStored;
     this.id = run.attempt as AttemptId;
     this.run = run;
     this.deadline = deadline;
@@ -133,6 +144,16 @@
     this.#settledAt = now;
   }
 
+  /** The index of the first token that the target will send. */
+  get resumeFrom(): number {
+    return this.#resumeFrom;
+  }
+
+  /** Sets the index of the first token that the target will send. */
+  setResumeFrom(index: number): void {
+    this.#resumeFrom = index;
+  }
+
   /** Adds to the request's body. */
   addBody(data: Buffer): void {
     this.#body.push(data);
@@ -170,7 +191,7 @@
     const chunk = { seq: this.#nextSeq, data };
     this.#nextSeq += 1;
     this.#chunks.push(chunk);
-    this.#storedBytes += data.length;
+    this.#store(data.length);
     this.#unconsumedBytes += data.length;
     this.#session?.send({ $case: 'chunk', value: { attempt: this.id, ...chunk } });
     this.#followers.forEach((follower) => follower.addChunk(data));
@@ -247,7 +268,7 @@
   /** Frees the answer. */
   dropAnswer(): void {
     this.#chunks = [];
-    this.#storedBytes = 0;
+    this.#store(-this.#storedBytes);
   }
 
   #resend(session: LinkSession, fromSeq: number): void {
@@ -266,13 +287,18 @@
       const first = this.#chunks[0]!;
       if (this.#storedBytes - first.data.length < this.#unconsumedBytes) return;
       this.#chunks.shift();
-      this.#storedBytes -= first.data.length;
+      this.#store(-first.data.length);
     }
   }
 
   #dropBefore(seq: number): void {
     const dropped = this.#chunks.filter((chunk) => chunk.seq < seq);
     this.#chunks = this.#chunks.filter((chunk) => chunk.seq >= seq);
-    this.#storedBytes -= dropped.reduce((sum, chunk) => sum + chunk.data.length, 0);
+    this.#store(-dropped.reduce((sum, chunk) => sum + chunk.data.length, 0));
+  }
+
+  #store(bytes: number): void {
+    this.#storedBytes += bytes;
+    this.#onStored(bytes);
   }
 }
