--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -30,6 +30,7 @@
 import type { Executor } from './executor';
 import { Gate } from './gate';
 import { Ledger } from './ledger';
+import { LoadReporter } from './load-reporter';
 import type { AgentSettings } from './settings';
 import { UsageHold } from './usage-hold';
 import type { WeightDesk } from './weight-desk';
@@ -73,14 +74,12 @@
 
   readonly #sync: ConfigSync;
 
+  readonly #load: LoadReporter;
+
   readonly #detachedAt = new Map<string, MonoTime>();
 
   readonly #sessions = new Set<LinkSession>();
 
-  #loadIsDue = false;
-
-  #lastLoad = '';
-
   /** @param options - the parts */
   constructor(options: AgentOptions) {
     const { clock, config, settings } = options;
@@ -102,6 +101,12 @@
       execute: (attempt) => this.#execute(attempt),
       onDropped: (attempt, reason) => this.#refuse(attempt, reason, RETRY_SOON_MS),
     });
+    this.#load = new LoadReporter({
+      work: this.#work,
+      gate: this.#gate,
+      weights: options.weights,
+      broadcast: options.broadcast,
+    });
     config.onChange(() => this.#recheckKeys());
   }
 
@@ -125,7 +130,7 @@
     if (this.#gate.isLeaving) return;
     log.info('The target leaves service.');
     this.#gate.leave();
-    this.#broadcastLoad();
+    this.#load.report();
   }
 
   /**
@@ -140,7 +145,7 @@
       this.#giveUpDetached();
       this.#ledger.sweep();
       this.handOverUsage();
-      this.#broadcastLoad();
+      this.#load.report();
     }
   }
 
@@ -162,7 +167,7 @@
     this.#sessions.add(session);
     this.#detachedAt.delete(session.hello.incarnation);
     this.#sync.meet(session, session.hello.configVersion);
-    session.send({ $case: 'load', value: this.#createLoad() });
+    session.send({ $case: 'load', value: this.#load.create() });
   }
 
   onClose(session: LinkSession): void {
@@ -174,7 +179,7 @@
   onVersion(session: LinkSession, version: number, since: MonoTime): void {
     const wasReady = this.#gate.isReady;
     this.#sync.compare(session, version, since);
-    if (this.#gate.isReady !== wasReady) this.#scheduleLoad();
+    if (this.#gate.isReady !== wasReady) this.#load.schedule();
   }
 
   onFrame(session: LinkSession, frame: ToAgent): void {
@@ -288,9 +293,9 @@
       this.#refuseWith(attempt, allowed.error);
       return;
     }
-    this.#scheduleLoad();
+    this.#load.schedule();
     await this.#options.executor.run(attempt);
-    this.#scheduleLoad();
+    this.#load.schedule();
   }
 
   #attach(session: LinkSession, attach: Attach): void {
@@ -401,38 +406,6 @@
     const found = isSome(view) ? view.value.findTeam(team) : undefined;
     return found !== undefined && isSome(found) ? found.value.weight : INITIAL_WEIGHT;
   }
-
-  // Reports of one turn of the event loop go out as one.
-  #scheduleLoad(): void {
-    if (this.#loadIsDue) return;
-    this.#loadIsDue = true;
-    setImmediate(() => {
-      this.#loadIsDue = false;
-      this.#broadcastLoad();
-    });
-  }
-
-  // Heartbeats show that the agent lives; a load that has not changed says nothing more.
-  #broadcastLoad(): void {
-    const load = this.#createLoad();
-    const text = JSON.stringify(load);
-    if (text === this.#lastLoad) return;
-    this.#lastLoad = text;
-    this.#options.broadcast(load);
-  }
-
-  #createLoad(): Load {
-    return {
-      running: this.#work.running,
-      queued: this.#work.queued,
-      queuedTokens: this.#work.queuedTokens,
-      slots: this.#work.slots,
-      served: this.#work.served,
-      leaving: this.#gate.isLeaving,
-      ready: this.#gate.isReady,
-      weights: this.#options.weights.versions,
-    };
-  }
 }
 
 function digestRequest(attempt: Attempt): string {
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -7,25 +7,26 @@
   type ZoneId,
   createSetting,
   integerText,
+  requiredText,
 } from '@hibiscushill/base';
 import { z } from 'zod';
 
-function text<T = string>(): z.ZodType<T> {
-  return z.string({ error: 'is required' }).min(1) as unknown as z.ZodType<T>;
-}
-
 /** Every setting of the agent. */
 export const AGENT_SETTINGS = {
-  instance: createSetting('instance', 'Id of the instance.', text<InstanceId>()),
-  zone: createSetting('zone', 'Availability zone of the instance.', text<ZoneId>()),
+  instance: createSetting('instance', 'Id of the instance.', requiredText<InstanceId>()),
+  zone: createSetting('zone', 'Availability zone of the instance.', requiredText<ZoneId>()),
   innerListen: createSetting(
     'inner-listen',
     'Address that entries open their links to.',
-    text(),
+    requiredText(),
     '127.0.0.1:0',
   ),
-  target: createSetting('target', 'Id of the target beside the agent.', text<TargetId>()),
-  service: createSetting('service', 'Service that the target belongs to.', text<ServiceId>()),
+  target: createSetting('target', 'Id of the target beside the agent.', requiredText<TargetId>()),
+  service: createSetting(
+    'service',
+    'Service that the target belongs to.',
+    requiredText<ServiceId>(),
+  ),
   targetUrl: createSetting('target-url', 'Base URL of the target.', z.url()),
   logUrl: createSetting('log-url', "Base URL of the platform's log.", z.url()),
   instancesUrl: createSetting('instances-url', 'Base URL of the instance list.', z.url()),
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -27,7 +27,7 @@
 export { RESULT_CODES, createFailure, findCodeName, listCodes } from './codes';
 export type { CodeName, Failure, ResultCode, RunState } from './codes';
 
-export { createSetting, integerText, listText, readSettings } from './settings';
+export { createSetting, integerText, listText, readSettings, requiredText } from './settings';
 export type { Setting, SettingProblem, SettingTable, SettingValues } from './settings';
 
 export { createLogger } from './logger';
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -77,6 +77,11 @@
   return problems.length > 0 ? err(problems) : ok(values as SettingValues<T>);
 }
 
+/** A text that is required and not empty, as a value of the wanted brand. */
+export function requiredText<T = string>(): z.ZodType<T> {
+  return z.string({ error: 'is required' }).min(1) as unknown as z.ZodType<T>;
+}
+
 /** A whole number in text, within bounds. */
 export function integerText(least: number, most: number): z.ZodType<number> {
   return z
--- a/packages/ctl/src/settings.ts
+++ b/packages/ctl/src/settings.ts
@@ -41,7 +41,7 @@
     'usage-window-ms',
     'Length of a usage window; the same as at the entries.',
     integerText(1, DAY_MS),
-    '60000',
+    '3600000',
   ),
 } as const satisfies SettingTable;
 
--- a/packages/entry/src/agent-peer.ts
+++ b/packages/entry/src/agent-peer.ts
@@ -79,6 +79,8 @@
 
   #isUp = false;
 
+  #configVersion: number | undefined;
+
   #isListedLeaving = false;
 
   #load: Load = IDLE_LOAD;
@@ -124,6 +126,11 @@
     return this.#hello?.service as ServiceId | undefined;
   }
 
+  /** The configuration version that the agent named last. */
+  get configVersion(): number | undefined {
+    return this.#configVersion;
+  }
+
   /** The load that the agent reported last. */
   get load(): Load {
     return this.#load;
@@ -269,6 +276,7 @@
   }
 
   onVersion(version: number, since: MonoTime): void {
+    this.#configVersion = version;
     this.#options.sync.compare(this, version, since);
   }
 
--- a/packages/entry/src/answer-forwarder.ts
+++ b/packages/entry/src/answer-forwarder.ts
@@ -10,7 +10,8 @@
 } from '@hibiscushill/base';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
-import type { DispatchRequest, OpenAnswer, RequestDispatcher } from './dispatcher';
+import type { DispatchRequest, OpenAnswer } from './dispatch';
+import type { RequestDispatcher } from './dispatcher';
 import { ModelLines } from './model-lines';
 import type { OutgoingAttempt } from './outgoing-attempt';
 
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -3,21 +3,15 @@
   type Clock,
   type CodeName,
   type Failure,
-  type KeyId,
   type Metrics,
   type Millis,
-  type MonoTime,
-  type RequestId,
   type ServiceId,
   type TargetId,
-  type TeamId,
-  type TrainerId,
   type ZoneId,
   type AttemptId,
   createFailure,
   createId,
 } from '@hibiscushill/base';
-import type { Header } from '@hibiscushill/protocol';
 import {
   type HedgePolicy,
   RendezvousKey,
@@ -30,43 +24,9 @@
 import { type Result, err, ok } from 'neverthrow';
 
 import type { AgentPool } from './agent-pool';
+import { Dispatch, type DispatchRequest, type OpenAnswer } from './dispatch';
 import type { OutgoingAttempt } from './outgoing-attempt';
 
-/** A request that was admitted. */
-export interface DispatchRequest {
-  readonly request: RequestId;
-  readonly service: ServiceId;
-  readonly team: TeamId | '';
-  readonly key: KeyId | '';
-  readonly isPublic: boolean;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly Header[];
-  readonly body: Buffer;
-  readonly isIdempotent: boolean;
-  readonly isModel: boolean;
-  readonly isBillable: boolean;
-  /** Whether a second attempt may be sent while the first is under way. */
-  readonly mayHedge: boolean;
-  readonly retain: boolean;
-  readonly idempotencyKey: string;
-  readonly affinityKey?: string;
-  readonly deadline: MonoTime;
-  readonly costTokens: number;
-  readonly priority: number;
-  readonly trainer?: TrainerId;
-  readonly exclude?: ReadonlySet<TargetId>;
-  readonly signal: AbortSignal;
-  readonly onTarget?: (target: TargetId) => void;
-}
-
-/** An answer whose head has arrived; its body follows as events of the attempt. */
-export interface OpenAnswer {
-  readonly status: number;
-  readonly headers: readonly Header[];
-  readonly attempt: OutgoingAttempt;
-}
-
 /** What a dispatcher decides with. */
 export interface DispatcherOptions {
   readonly clock: Clock;
@@ -92,43 +52,6 @@
 
 type Waited = 'event' | 'second-due' | 'ended';
 
-/** One request's state over all its attempts. */
-class Dispatch {
-  readonly req: DispatchRequest;
-
-  readonly tried: Set<TargetId>;
-
-  readonly open: OutgoingAttempt[] = [];
-
-  attempts = 0;
-
-  mayHaveRun = false;
-
-  lastFailure: Failure | undefined;
-
-  /** When a second attempt is due, because the first is slow or its link is broken. */
-  secondAt: MonoTime | undefined;
-
-  constructor(req: DispatchRequest) {
-    this.req = req;
-    this.tried = new Set(req.exclude ?? []);
-  }
-
-  scheduleSecond(at: number | undefined): void {
-    this.secondAt = at as MonoTime | undefined;
-  }
-
-  add(attempt: OutgoingAttempt): void {
-    this.attempts += 1;
-    this.open.push(attempt);
-  }
-
-  noteFailure(failure: Failure): void {
-    this.lastFailure = failure;
-    if (failure.run === 'may-have-run') this.mayHaveRun = true;
-  }
-}
-
 /** Sends requests to targets. */
 export class RequestDispatcher {
   readonly #options: DispatcherOptions;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,17 +2,17 @@
 import {
   type Clock,
   type Failure,
-  type InstanceId,
-  type TargetId,
-  type TrainerId,
-  createFailure,
   type IncarnationId,
+  type InstanceId,
+  Metrics,
   type Millis,
   type MonoTime,
-  type ServiceId,
-  Metrics,
   type RandomSource,
+  type ServiceId,
   SystemClock,
+  type TargetId,
+  type TrainerId,
+  createFailure,
   createId,
   createLogger,
   createRandomSource,
@@ -26,30 +26,30 @@
 } from '@hibiscushill/config';
 import { DemandSummary } from '@hibiscushill/control';
 import { HttpLog, InstanceList, type ListedInstance } from '@hibiscushill/platform';
-import { TrainerService, registerTrainerRoutes } from '@hibiscushill/rollout';
-import { isSome, none } from 'fp-ts/Option';
-import { type Result, err, ok } from 'neverthrow';
 import { PeerServer } from '@hibiscushill/protocol';
+import { TrainerService, registerTrainerRoutes } from '@hibiscushill/rollout';
 import { Ejector, WaitEstimator } from '@hibiscushill/routing';
 import type { FastifyInstance } from 'fastify';
+import { isSome, none } from 'fp-ts/Option';
+import { type Result, err, ok } from 'neverthrow';
 import xxhash, { type XXHashAPI } from 'xxhash-wasm';
 
 import { AgentPeer } from './agent-peer';
 import { AgentPool } from './agent-pool';
-import { LinkSampleRunner } from './sample-runner';
-import { LinkWeightOrders } from './link-weight-orders';
-import { EntryOwners, serveForwarded } from './owner-directory';
-import { TrainerDesks } from './trainer-desks';
+import { EntryDemandMeter } from './demand-meter';
 import { RequestDispatcher } from './dispatcher';
+import { LinkWeightOrders } from './link-weight-orders';
 import { OpenRequests } from './open-requests';
+import { EntryOwners, serveForwarded } from './owner-directory';
 import { PeerExchange } from './peer-exchange';
 import { type Policies, createPolicies } from './policies';
+import { LinkSampleRunner } from './sample-runner';
+import { ScalingDuty } from './scaling-duty';
 import { createServer } from './server';
 import { registerServiceRoutes } from './service-routes';
 import type { EntrySettings } from './settings';
 import { type DutyStatus, registerStatusRoutes } from './status';
-import { EntryDemandMeter } from './demand-meter';
-import { ScalingDuty } from './scaling-duty';
+import { TrainerDesks } from './trainer-desks';
 import { UsageDuty } from './usage-duty';
 
 const log = createLogger('entry');
--- a/packages/entry/src/sample-runner.ts
+++ b/packages/entry/src/sample-runner.ts
@@ -20,7 +20,8 @@
 import { type Result, ResultAsync, err, ok } from 'neverthrow';
 
 import type { AgentPool } from './agent-pool';
-import type { DispatchRequest, RequestDispatcher } from './dispatcher';
+import type { DispatchRequest } from './dispatch';
+import type { RequestDispatcher } from './dispatcher';
 import type { OutgoingAttempt } from './outgoing-attempt';
 import type { ServedRequest } from './service-routes';
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -6,19 +6,21 @@
   createSetting,
   integerText,
   listText,
+  requiredText,
 } from '@hibiscushill/base';
 import { z } from 'zod';
 
-function text<T = string>(): z.ZodType<T> {
-  return z.string({ error: 'is required' }).min(1) as unknown as z.ZodType<T>;
-}
-
 /** Every setting of the entry. */
 export const ENTRY_SETTINGS = {
-  instance: createSetting('instance', 'Id of the instance.', text<InstanceId>()),
-  zone: createSetting('zone', 'Availability zone of the instance.', text<ZoneId>()),
-  listen: createSetting('listen', 'Address for callers.', text(), '127.0.0.1:0'),
-  innerListen: createSetting('inner-listen', 'Address for other entries.', text(), '127.0.0.1:0'),
+  instance: createSetting('instance', 'Id of the instance.', requiredText<InstanceId>()),
+  zone: createSetting('zone', 'Availability zone of the instance.', requiredText<ZoneId>()),
+  listen: createSetting('listen', 'Address for callers.', requiredText(), '127.0.0.1:0'),
+  innerListen: createSetting(
+    'inner-listen',
+    'Address for other entries.',
+    requiredText(),
+    '127.0.0.1:0',
+  ),
   logUrl: createSetting('log-url', "Base URL of the platform's log.", z.url()),
   ordersUrl: createSetting('orders-url', 'Base URL of the target orders.', z.url()),
   usageUrl: createSetting('usage-url', 'Base URL of the usage reports.', z.url()),
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -63,6 +63,7 @@
       service: peer.hello?.service,
       zone: peer.hello?.availabilityZone,
       incarnation: peer.hello?.incarnation,
+      configVersion: peer.configVersion,
       up: peer.isUp,
       ready: peer.load.ready,
       leaving: peer.load.leaving,
