--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -350,8 +350,8 @@
   }
 
   #recheckKey(attempt: Attempt): void {
-    const allowed = this.#gate.checkKey(attempt.run);
-    if (allowed.isOk() || allowed.error.code === 'config_stale') return;
+    const allowed = this.#gate.recheckKey(attempt.run);
+    if (allowed.isOk()) return;
     this.#options.metrics.countRefusal(allowed.error.code);
     if (attempt.state === 'running') attempt.cancel();
     else this.#withdraw(attempt, allowed.error.code);
--- a/packages/agent/src/gate.ts
+++ b/packages/agent/src/gate.ts
@@ -8,7 +8,7 @@
   createFailure,
   type Failure,
 } from '@hibiscushill/base';
-import { type ConfigStore, checkKeyId } from '@hibiscushill/config';
+import { type ConfigStore, type ConfigView, checkKeyId } from '@hibiscushill/config';
 import type { Run } from '@hibiscushill/protocol';
 import { isNone, isSome } from 'fp-ts/Option';
 import { type Result, err, ok } from 'neverthrow';
@@ -64,10 +64,10 @@
   }
 
   /**
-   * Decides again, at any later time, whether an attempt's key is still good.
+   * Decides whether an attempt may start now: the configuration is fresh and its key is good.
    *
    * @param run - the attempt
-   * @returns nothing, or why its key doesn't count
+   * @returns nothing, or why it must not start
    */
   checkKey(run: Run): Result<void, Failure> {
     const { config, configAgeMs } = this.#options;
@@ -76,11 +76,26 @@
     if (!config.isFresh(configAgeMs) || run.configVersion > config.version) {
       return refuse('config_stale', RETRY_SOON_MS);
     }
-    if (run.publicRoute) return ok(undefined);
-    return checkKeyId(view.value, run.key as KeyId).andThen((holder) =>
-      holder.team === run.team ? ok(undefined) : refuse('team_mismatch'),
-    );
+    return checkHolder(view.value, run);
   }
+
+  /**
+   * Decides whether the configuration in force, however old, withdraws an attempt's key.
+   *
+   * @param run - an attempt that waits or runs
+   * @returns nothing, or why its key no longer counts
+   */
+  recheckKey(run: Run): Result<void, Failure> {
+    const { view } = this.#options.config;
+    return isNone(view) ? ok(undefined) : checkHolder(view.value, run);
+  }
+}
+
+function checkHolder(view: ConfigView, run: Run): Result<void, Failure> {
+  if (run.publicRoute) return ok(undefined);
+  return checkKeyId(view, run.key as KeyId).andThen((holder) =>
+    holder.team === run.team ? ok(undefined) : refuse('team_mismatch'),
+  );
 }
 
 function refuse(name: CodeName, retryAfterMs?: Millis): Result<never, Failure> {
--- a/packages/agent/test/ledger.test.ts
+++ b/packages/agent/test/ledger.test.ts
@@ -4,33 +4,7 @@
 
 import { Attempt } from '../src/attempt';
 import { Ledger } from '../src/ledger';
-
-const RUN: Run = {
-  attempt: 'a1',
-  incarnation: 'i1',
-  request: 'r1',
-  service: 'desk',
-  team: 'valley',
-  key: 'k1',
-  configVersion: 0,
-  method: 'POST',
-  path: '/orders',
-  headers: [],
-  hasBody: false,
-  idempotent: false,
-  deadlineMs: 1000,
-  priority: 1,
-  costTokens: 1,
-  idempotencyKey: '',
-  creditBytes: 8,
-  publicRoute: false,
-  body: Buffer.alloc(0),
-  bodyComplete: true,
-  trainer: '',
-  retain: false,
-  billable: true,
-  model: false,
-};
+import { RUN } from './support';
 
 const END = { digest: 'd', tokens: 0, segments: [], code: 0, detail: '' };
 
