--- a/packages/fakes/test/targets.test.ts
+++ b/packages/fakes/test/targets.test.ts
@@ -53,8 +53,9 @@
 
   it('names the version that made each token, as its own record does', async () => {
     const { send, generate, ends } = await setUpEngine();
-    const running = generate({ prompt: 'rind', maxTokens: 60, trainer: 't' }, 'r1');
-    await vi.waitUntil(() => ends().length > 0);
+    const running = generate({ prompt: 'rind', maxTokens: 400, trainer: 't' }, 'r1');
+    // The swap has to fall between two tokens: after the first, and long before the last.
+    await vi.waitUntil(() => Number(ends()[0]?.next ?? 0) > 0);
     expect((await send('/weights', swap(2, 1))).status).toBe(200);
     const versions = (await running).slice(0, -1).map((line) => line.v);
     expect(new Set(versions)).toEqual(new Set([0, 2]));
