--- a/packages/proof/src/caller.ts
+++ b/packages/proof/src/caller.ts
@@ -9,6 +9,9 @@
 const CALL_TIMEOUT_MS = 20_000;
 const GENERATED_TOKENS = 24;
 
+// An order takes effect at once and is answered later, so that faults fall in between.
+const ORDER_MS = 300;
+
 /** One call to make. */
 export interface CallPlan {
   readonly id: string;
@@ -108,7 +111,7 @@
     case 'order':
       return {
         method: 'POST',
-        path: '/s/sales-desk/orders',
+        path: `/s/sales-desk/orders?delayMs=${ORDER_MS}`,
         body: JSON.stringify({ for: plan.id }),
       };
     case 'look-up':
