Serve the growers' platform: gateway, adapter and one program on the entries

Cause: nothing spoke the platform's protocol. Change: packages/gateway holds requests, submissions, weights, duties and usage behind ports; platform/ implements the ports. packages/platform is renamed to packages/log, which it is. Ruled out: serving submissions from each entry on its own (placement would have to share slots between processes).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
 const LAYERS = [
   'base',
   'protocol',
-  'platform',
+  'log',
   'config',
   'control',
   'routing',
--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -12,7 +12,7 @@
   WeightSource,
   type WeightState,
 } from '@hibiscushill/rollout';
-import type { WeightStore } from '@hibiscushill/platform';
+import type { WeightStore } from '@hibiscushill/log';
 import { ResultAsync, err, ok } from 'neverthrow';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -9,7 +9,7 @@
   readSettings,
 } from '@hibiscushill/base';
 import { ConfigStore } from '@hibiscushill/config';
-import { HttpLog, InstanceList, WeightStore } from '@hibiscushill/platform';
+import { HttpLog, InstanceList, WeightStore } from '@hibiscushill/log';
 import { LinkServer } from '@hibiscushill/protocol';
 import { WeightApplier, readFencing } from '@hibiscushill/rollout';
 import { FairQueue, FifoQueue } from '@hibiscushill/routing';
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,8 @@
 export { Clock, ManualClock, SystemClock } from './clock';
 export type { Millis, MonoTime, WallTime } from './clock';
 
+export { SuspendAwareClock } from './suspend-clock';
+
 export { createId } from './ids';
 export type {
   AttemptId,
@@ -33,6 +35,11 @@
 export { createLogger } from './logger';
 export type { LogFields, Logger } from './logger';
 
+export { LineBudget } from './line-budget';
+export type { LineBudgetOptions } from './line-budget';
+
+export { ServedMetrics } from './served-metrics';
+
 export { Metrics } from './metrics';
 export type { MetricsOptions } from './metrics';
 
--- a/packages/config/bench/inputs.ts
+++ b/packages/config/bench/inputs.ts
@@ -2,7 +2,7 @@
 import { createHash } from 'node:crypto';
 
 import type { Offset, RecordId, WallTime } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import { Declarations } from '../src';
 
--- a/packages/config/bench/spread.ts
+++ b/packages/config/bench/spread.ts
@@ -5,7 +5,7 @@
 import { fork } from 'node:child_process';
 
 import { type RecordId, SystemClock, createId } from '@hibiscushill/base';
-import { HttpLog } from '@hibiscushill/platform';
+import { HttpLog } from '@hibiscushill/log';
 
 import { ConfigFollower, ConfigStore } from '../src';
 import { createDeclarations, print } from './inputs';
--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -10,7 +10,7 @@
   createLogger,
   createRandomSource,
 } from '@hibiscushill/base';
-import { type Log, LogTail, type NewRecord } from '@hibiscushill/platform';
+import { type Log, LogTail, type NewRecord } from '@hibiscushill/log';
 
 import { SNAPSHOT_KIND, toSnapshot } from './history';
 import { type DelayPolicy, ExponentialDelay, SnapshotRenewal } from './renewal';
--- a/packages/config/src/history.ts
+++ b/packages/config/src/history.ts
@@ -1,6 +1,6 @@
 /** The acceptance rule: which changes of configuration count, from any place in the log. */
 import type { ConfigVersion, Offset } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { type Result, err, ok } from 'neverthrow';
 import { z } from 'zod';
 
--- a/packages/config/src/renewal.ts
+++ b/packages/config/src/renewal.ts
@@ -1,6 +1,6 @@
 /** When a process renews the snapshot, so that of many processes few do. */
 import type { Millis, MonoTime, Offset, RandomSource, WallTime } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import { readSnapshot } from './history';
 
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -10,7 +10,7 @@
   createFailure,
   createLogger,
 } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { type Option, none, some } from 'fp-ts/Option';
 import { type Result, ok } from 'neverthrow';
 
--- a/packages/config/test/follower.test.ts
+++ b/packages/config/test/follower.test.ts
@@ -5,7 +5,7 @@
   SystemClock,
   createId,
 } from '@hibiscushill/base';
-import { MemoryLog } from '@hibiscushill/platform';
+import { MemoryLog } from '@hibiscushill/log';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { ConfigFollower, ConfigStore, SnapshotRenewal, UniformDelay } from '../src';
--- a/packages/config/test/naive-rules.ts
+++ b/packages/config/test/naive-rules.ts
@@ -1,6 +1,6 @@
 /** Rules that look right and aren't, to show that the checker finds them out. */
 import type { ConfigVersion, Offset } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { ok } from 'neverthrow';
 
 import { ConfigHistory, type ConfigState, type Judgement, readSnapshot } from '../src';
--- a/packages/config/test/race.ts
+++ b/packages/config/test/race.ts
@@ -1,6 +1,6 @@
 /** Operators and readers that race on a log, and the checks that any rule must pass. */
 import type { Offset } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import fc from 'fast-check';
 
 import { type ConfigHistory, type ConfigState, type Judgement, toSnapshot } from '../src';
--- a/packages/config/test/samples.ts
+++ b/packages/config/test/samples.ts
@@ -1,6 +1,6 @@
 /** Declarations and records for the tests of this package. */
 import type { Offset, RecordId, WallTime } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import { Declarations } from '../src';
 
--- a/packages/control/src/duty/history.ts
+++ b/packages/control/src/duty/history.ts
@@ -1,6 +1,6 @@
 /** Who holds a duty, as every reader of its stream works it out alike. */
 import type { FencingNumber, IncarnationId, InstanceId, Offset } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import {
   type Claim,
--- a/packages/control/src/duty/keeper-options.ts
+++ b/packages/control/src/duty/keeper-options.ts
@@ -7,7 +7,7 @@
   Millis,
   RandomSource,
 } from '@hibiscushill/base';
-import type { Log, LogTail, StreamName } from '@hibiscushill/platform';
+import type { Log, LogTail, StreamName } from '@hibiscushill/log';
 
 import { rankCandidates } from './rank';
 import type { DutyName } from './records';
--- a/packages/control/src/duty/keeper.ts
+++ b/packages/control/src/duty/keeper.ts
@@ -13,7 +13,7 @@
   createLogger,
   createRandomSource,
 } from '@hibiscushill/base';
-import type { LogRecord, NewRecord } from '@hibiscushill/platform';
+import type { LogRecord, NewRecord } from '@hibiscushill/log';
 import * as O from 'fp-ts/Option';
 import type { Result } from 'neverthrow';
 
--- a/packages/control/src/duty/reading.ts
+++ b/packages/control/src/duty/reading.ts
@@ -1,6 +1,6 @@
 /** Feeds a fold with every record of a stream, in order and without a gap. */
 import type { Offset } from '@hibiscushill/base';
-import type { Log, LogRecord, StreamName } from '@hibiscushill/platform';
+import type { Log, LogRecord, StreamName } from '@hibiscushill/log';
 
 const PAGE_RECORDS = 500;
 
--- a/packages/control/src/duty/records.ts
+++ b/packages/control/src/duty/records.ts
@@ -1,6 +1,6 @@
 /** The records that carry a duty's claims, renewals and releases on the log. */
 import type { FencingNumber, IncarnationId, InstanceId, Offset } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { z } from 'zod';
 
 /** A duty that one process at a time has, such as `usage` or `targets/<availability zone>`. */
--- a/packages/control/src/duty/tail-claims.ts
+++ b/packages/control/src/duty/tail-claims.ts
@@ -1,6 +1,6 @@
 /** Who holds a duty, for a reader that is fed by a tail of the duty's stream. */
 import type { FencingNumber } from '@hibiscushill/base';
-import type { LogRecord, LogTail } from '@hibiscushill/platform';
+import type { LogRecord, LogTail } from '@hibiscushill/log';
 import * as O from 'fp-ts/Option';
 
 import { ClaimHistory } from './history';
--- a/packages/control/src/order/sender.ts
+++ b/packages/control/src/order/sender.ts
@@ -6,7 +6,7 @@
   type Millis,
   createFailure,
 } from '@hibiscushill/base';
-import type { GuardOptions } from '@hibiscushill/platform';
+import type { GuardOptions } from '@hibiscushill/log';
 import { isNone } from 'fp-ts/Option';
 import { type Result, ResultAsync, errAsync } from 'neverthrow';
 
--- a/packages/control/src/scaling/scaler.ts
+++ b/packages/control/src/scaling/scaler.ts
@@ -13,7 +13,7 @@
   createRandomSource,
 } from '@hibiscushill/base';
 import type { Service, ServiceZone } from '@hibiscushill/config';
-import type { TargetOrder, TargetOrders, ZoneTargets } from '@hibiscushill/platform';
+import type { TargetOrder, TargetOrders, ZoneTargets } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 import { randomUUID } from 'node:crypto';
 import { type Result, err } from 'neverthrow';
--- a/packages/control/src/tasks.ts
+++ b/packages/control/src/tasks.ts
@@ -9,7 +9,7 @@
   ZoneId,
 } from '@hibiscushill/base';
 import type { Service } from '@hibiscushill/config';
-import { type Log, LogTail, type TargetOrders, type UsageReports } from '@hibiscushill/platform';
+import { type Log, LogTail, type TargetOrders, type UsageReports } from '@hibiscushill/log';
 
 import { DutyKeeper } from './duty/keeper';
 import { FencedSender } from './order/sender';
--- a/packages/control/src/usage/figures.ts
+++ b/packages/control/src/usage/figures.ts
@@ -1,5 +1,5 @@
 /** Sums usage by team and service. */
-import type { UsageFigure } from '@hibiscushill/platform';
+import type { UsageFigure } from '@hibiscushill/log';
 import * as Ord from 'fp-ts/Ord';
 import { pipe } from 'fp-ts/function';
 import * as A from 'fp-ts/ReadonlyArray';
--- a/packages/control/src/usage/ledger.ts
+++ b/packages/control/src/usage/ledger.ts
@@ -12,7 +12,7 @@
   createLogger,
   createRandomSource,
 } from '@hibiscushill/base';
-import type { Log, NewRecord } from '@hibiscushill/platform';
+import type { Log, NewRecord } from '@hibiscushill/log';
 
 import { AgentReceipts } from './receipts';
 import { USAGE_KINDS, type UsageItem } from './records';
--- a/packages/control/src/usage/records.ts
+++ b/packages/control/src/usage/records.ts
@@ -8,7 +8,7 @@
   TeamId,
   WallTime,
 } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { z } from 'zod';
 
 /** The duty whose holder closes and reports windows. */
--- a/packages/control/src/usage/reporter.ts
+++ b/packages/control/src/usage/reporter.ts
@@ -8,7 +8,7 @@
   createId,
   createLogger,
 } from '@hibiscushill/base';
-import type { Log, LogTail, UsageReports } from '@hibiscushill/platform';
+import type { Log, LogTail, UsageReports } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 
 import type { DutyKeeper } from '../duty/keeper';
--- a/packages/control/src/usage/windows.ts
+++ b/packages/control/src/usage/windows.ts
@@ -1,6 +1,6 @@
 /** The usage windows, as every reader of the stream works them out alike. */
 import type { FencingNumber, Millis, Offset, WallTime } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import { ClaimHistory } from '../duty/history';
 import { sumFigures } from './figures';
--- a/packages/control/test/duty-harness.ts
+++ b/packages/control/test/duty-harness.ts
@@ -10,7 +10,7 @@
   type WallTime,
   createFailure,
 } from '@hibiscushill/base';
-import { Log, type LogRecord, LogTail, MemoryLog, type StreamName } from '@hibiscushill/platform';
+import { Log, type LogRecord, LogTail, MemoryLog, type StreamName } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 import { ResultAsync, errAsync } from 'neverthrow';
 
--- a/packages/control/test/history.test.ts
+++ b/packages/control/test/history.test.ts
@@ -1,4 +1,4 @@
-import type { LogRecord, TrimGap } from '@hibiscushill/platform';
+import type { LogRecord, TrimGap } from '@hibiscushill/log';
 import fc from 'fast-check';
 import { none, some } from 'fp-ts/Option';
 import { describe, expect, it } from 'vitest';
--- a/packages/control/test/measures.test.ts
+++ b/packages/control/test/measures.test.ts
@@ -1,5 +1,5 @@
 import { type IncarnationId, type InstanceId, ManualClock, RandomSource } from '@hibiscushill/base';
-import { MemoryLog } from '@hibiscushill/platform';
+import { MemoryLog } from '@hibiscushill/log';
 import { describe, expect, it } from 'vitest';
 
 import { UsageLedger } from '../src';
--- a/packages/control/test/scaler.test.ts
+++ b/packages/control/test/scaler.test.ts
@@ -14,7 +14,7 @@
   TargetOrder,
   TargetOrders,
   ZoneTargets,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 import { isNone } from 'fp-ts/Option';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { afterEach, describe, expect, it } from 'vitest';
--- a/packages/control/test/sender.test.ts
+++ b/packages/control/test/sender.test.ts
@@ -1,5 +1,5 @@
 import type { FencingNumber, ServiceId, ZoneId } from '@hibiscushill/base';
-import { TargetOrders } from '@hibiscushill/platform';
+import { TargetOrders } from '@hibiscushill/log';
 import http from 'node:http';
 import net from 'node:net';
 import { Worker } from 'node:worker_threads';
--- a/packages/control/test/tasks.test.ts
+++ b/packages/control/test/tasks.test.ts
@@ -1,5 +1,5 @@
 import { type IncarnationId, type InstanceId, ManualClock, type ZoneId } from '@hibiscushill/base';
-import { MemoryLog, type ZoneTargets } from '@hibiscushill/platform';
+import { MemoryLog, type ZoneTargets } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 import { errAsync, okAsync } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
--- a/packages/control/test/usage-harness.ts
+++ b/packages/control/test/usage-harness.ts
@@ -14,7 +14,7 @@
   UsageFigure,
   UsageReport,
   UsageReports,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 
--- a/packages/ctl/bench/race-check.ts
+++ b/packages/ctl/bench/race-check.ts
@@ -1,6 +1,6 @@
 /** The checks of a race of operators, over what each process saw and the log's records. */
 import { CHANGE_KIND, ConfigHistory } from '@hibiscushill/config';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 /** What an operator was told about one change. */
 export interface Told {
--- a/packages/ctl/bench/race.ts
+++ b/packages/ctl/bench/race.ts
@@ -14,7 +14,7 @@
   Declarations,
   toCanonical,
 } from '@hibiscushill/config';
-import { HttpLog, type LogRecord } from '@hibiscushill/platform';
+import { HttpLog, type LogRecord } from '@hibiscushill/log';
 import { request } from 'undici';
 
 import { ChangeApplier, ConfigReader } from '../src';
--- a/packages/ctl/src/applying.ts
+++ b/packages/ctl/src/applying.ts
@@ -17,7 +17,7 @@
   compareDeclarations,
   toCanonical,
 } from '@hibiscushill/config';
-import type { Log, NewRecord } from '@hibiscushill/platform';
+import type { Log, NewRecord } from '@hibiscushill/log';
 
 import { ConfigReader } from './config-reader';
 
--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -1,6 +1,6 @@
 /** The command line: flags and environment to a command, its report to the streams. */
 import { SystemClock, readSettings } from '@hibiscushill/base';
-import { HttpLog } from '@hibiscushill/platform';
+import { HttpLog } from '@hibiscushill/log';
 import sade from 'sade';
 
 import { COMMANDS, type Command } from './commands';
--- a/packages/ctl/src/config-reader.ts
+++ b/packages/ctl/src/config-reader.ts
@@ -6,7 +6,7 @@
   type Judgement,
   type Verdict,
 } from '@hibiscushill/config';
-import type { Log } from '@hibiscushill/platform';
+import type { Log } from '@hibiscushill/log';
 import { type Result, err, ok } from 'neverthrow';
 
 const STREAM = 'config';
--- a/packages/ctl/src/context.ts
+++ b/packages/ctl/src/context.ts
@@ -1,6 +1,6 @@
 /** What commands run on. */
 import type { Clock, Millis } from '@hibiscushill/base';
-import type { Log } from '@hibiscushill/platform';
+import type { Log } from '@hibiscushill/log';
 
 /** What commands run on. */
 export interface CommandContext {
--- a/packages/ctl/src/duties.ts
+++ b/packages/ctl/src/duties.ts
@@ -1,7 +1,7 @@
 /** The holders of duties, read from the log. */
 import type { Failure, Offset, TrainerId } from '@hibiscushill/base';
 import { ClaimHistory, parseDutyRecord } from '@hibiscushill/control';
-import type { Log, LogRecord, StreamName } from '@hibiscushill/platform';
+import type { Log, LogRecord, StreamName } from '@hibiscushill/log';
 import { type Result, err, ok } from 'neverthrow';
 
 import { readStream } from './stream';
--- a/packages/ctl/src/stream.ts
+++ b/packages/ctl/src/stream.ts
@@ -1,6 +1,6 @@
 /** Reads a whole stream of the log. */
 import type { Failure, Offset } from '@hibiscushill/base';
-import type { Log, LogRecord, StreamName } from '@hibiscushill/platform';
+import type { Log, LogRecord, StreamName } from '@hibiscushill/log';
 import { type Result, err, ok } from 'neverthrow';
 
 const PAGE_LIMIT = 500;
--- a/packages/ctl/src/usage-command.ts
+++ b/packages/ctl/src/usage-command.ts
@@ -1,7 +1,7 @@
 /** The command `usage`: the windows that are closed, and which of them are reported. */
 import type { Millis } from '@hibiscushill/base';
 import { type ClosedWindow, UsageWindows, parseUsageRecord } from '@hibiscushill/control';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 
 import type { CommandContext } from './context';
 import { reportOutcome } from './declaration-commands';
--- a/packages/ctl/test/applying.test.ts
+++ b/packages/ctl/test/applying.test.ts
@@ -1,6 +1,6 @@
 import { RandomSource, type RecordId, SystemClock, createId } from '@hibiscushill/base';
 import { Declarations } from '@hibiscushill/config';
-import { MemoryLog } from '@hibiscushill/platform';
+import { MemoryLog } from '@hibiscushill/log';
 import { describe, expect, it } from 'vitest';
 
 import { type ApplyOutcome, ChangeApplier, ConfigReader } from '../src';
--- a/packages/ctl/test/cli.test.ts
+++ b/packages/ctl/test/cli.test.ts
@@ -2,7 +2,7 @@
 
 import { ManualClock, type RecordId, SystemClock, createId } from '@hibiscushill/base';
 import { Declarations, hashSecret, loadDeclarations } from '@hibiscushill/config';
-import { MemoryLog } from '@hibiscushill/platform';
+import { MemoryLog } from '@hibiscushill/log';
 import { describe, expect, it } from 'vitest';
 
 import { COMMANDS, ChangeApplier, EXIT_CODES, createCliPage, runCli } from '../src';
--- a/packages/ctl/test/race-check.test.ts
+++ b/packages/ctl/test/race-check.test.ts
@@ -1,4 +1,4 @@
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { describe, expect, it } from 'vitest';
 
 import { type RaceHistory, checkRace } from '../bench/race-check';
--- a/packages/entry/src/agent-pool.ts
+++ b/packages/entry/src/agent-pool.ts
@@ -1,6 +1,6 @@
 /** The agents that this entry keeps links to, found in the platform's instance list. */
 import type { Clock, InstanceId, Millis, MonoTime, ServiceId, TargetId } from '@hibiscushill/base';
-import type { InstanceList, ListedInstance } from '@hibiscushill/platform';
+import type { InstanceList, ListedInstance } from '@hibiscushill/log';
 import { type Ejector, type TargetView, chooseSubset } from '@hibiscushill/routing';
 
 import type { AgentPeer } from './agent-peer';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -25,7 +25,7 @@
   checkKey,
 } from '@hibiscushill/config';
 import { DemandSummary } from '@hibiscushill/control';
-import { HttpLog, InstanceList, type ListedInstance } from '@hibiscushill/platform';
+import { HttpLog, InstanceList, type ListedInstance } from '@hibiscushill/log';
 import { PeerServer } from '@hibiscushill/protocol';
 import { TrainerService, registerTrainerRoutes } from '@hibiscushill/rollout';
 import { Ejector, WaitEstimator } from '@hibiscushill/routing';
--- a/packages/entry/src/peer-exchange.ts
+++ b/packages/entry/src/peer-exchange.ts
@@ -9,7 +9,7 @@
 } from '@hibiscushill/base';
 import type { ConfigStore } from '@hibiscushill/config';
 import type { DemandSummary, EntryDemand } from '@hibiscushill/control';
-import type { ListedInstance } from '@hibiscushill/platform';
+import type { ListedInstance } from '@hibiscushill/log';
 import { PeerClient, type PeerMessage } from '@hibiscushill/protocol';
 import type { ShareTracker } from '@hibiscushill/routing';
 import { isSome } from 'fp-ts/Option';
--- a/packages/entry/src/scaling-duty.ts
+++ b/packages/entry/src/scaling-duty.ts
@@ -9,7 +9,7 @@
 } from '@hibiscushill/base';
 import type { ConfigStore, Service } from '@hibiscushill/config';
 import { type DemandSummary, DutyKeeper, FencedSender, TargetScaler } from '@hibiscushill/control';
-import { type Log, LogTail, TargetOrders } from '@hibiscushill/platform';
+import { type Log, LogTail, TargetOrders } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 
 /** What scaling needs. */
--- a/packages/entry/src/trainer-desks.ts
+++ b/packages/entry/src/trainer-desks.ts
@@ -12,7 +12,7 @@
 } from '@hibiscushill/base';
 import type { ConfigStore, Trainer } from '@hibiscushill/config';
 import { DutyKeeper, TailClaims } from '@hibiscushill/control';
-import { type Log, LogTail, type StreamName } from '@hibiscushill/platform';
+import { type Log, LogTail, type StreamName } from '@hibiscushill/log';
 import {
   type SampleRunner,
   SlidingWaves,
--- a/packages/entry/src/usage-duty.ts
+++ b/packages/entry/src/usage-duty.ts
@@ -18,7 +18,7 @@
   UsageReporter,
   UsageWindows,
 } from '@hibiscushill/control';
-import { type Log, LogTail, UsageReports } from '@hibiscushill/platform';
+import { type Log, LogTail, UsageReports } from '@hibiscushill/log';
 import type { UsageItem } from '@hibiscushill/protocol';
 
 import type { AgentPeer } from './agent-peer';
--- a/packages/fakes/bench/log-client.ts
+++ b/packages/fakes/bench/log-client.ts
@@ -8,7 +8,7 @@
   type NewRecord,
   type StreamName,
   appendOnce,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 
 import { Cutter, FakeLog, FakeServer } from '../src';
 
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -5,7 +5,7 @@
   MemoryLog,
   type NewRecord,
   type StreamName,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 
--- a/packages/fakes/test/platform.test.ts
+++ b/packages/fakes/test/platform.test.ts
@@ -18,7 +18,7 @@
   UsageReports,
   WeightStore,
   appendOnce,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import {
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,68 @@
+/** Requests, submissions, weights and duties, served straight from the targets. */
+export { CallerHandler, CallerReply } from './caller-port';
+export type {
+  CallerRequest,
+  ItemResult,
+  ItemSpec,
+  Outcome,
+  OwnAnswer,
+  ResultPage,
+  RewardSpec,
+  SubmissionCall,
+  SubmissionSpec,
+} from './caller-port';
+
+export { ConfigBook } from './config-book';
+export type { ConfigBookOptions, FreshnessProof } from './config-book';
+
+export { ConfigView } from './config-view';
+
+export { EngineControl, ScaleSink, UsageSink } from './control-port';
+export type {
+  EngineReport,
+  OrderAuthor,
+  OrderVerdict,
+  TeamCounts,
+  WeightOrder,
+} from './control-port';
+
+export { TargetDirectory } from './directory';
+export type { TargetEntry } from './directory';
+
+export { Gateway } from './gateway';
+export type { GatewayOptions } from './gateway';
+
+export { ExchangeSink, HttpExchanger } from './http-exchange';
+export type { AbortExchange, ExchangeError, ExchangeRequest } from './http-exchange';
+
+export { CONTROL_DUTY, GatewayNode } from './node';
+export type { NodeBounds, NodeOptions } from './node';
+
+export { createAnswer } from './request-forwarder';
+
+export type {
+  CallerLimits,
+  ModelId,
+  RouteBackend,
+  RouteKind,
+  ScaleBounds,
+  ServingConfig,
+  ServingRoute,
+  ServingService,
+  ServingTeam,
+  ServingVersion,
+} from './serving-config';
+
+export type { ItemId, SubmissionId } from './submission';
+
+export { EventReader, TargetAnswerSink, TargetClient } from './target-port';
+export type {
+  AbortCall,
+  CallFailure,
+  StreamEvent,
+  TargetAnswerHead,
+  TargetCall,
+  ToldLoad,
+} from './target-port';
+
+export type { ChangeMode } from './weight-planner';
--- /dev/null
+++ b/packages/gateway/src/work-runner.ts
@@ -0,0 +1,377 @@
+/** Runs the items of all open submissions, at one process at a time. */
+import type {
+  Clock,
+  Logger,
+  Metrics,
+  Millis,
+  RequestId,
+  TargetId,
+  WallTime,
+} from '@hibiscushill/base';
+
+import type { ItemSpec } from './caller-port';
+import type { ConfigBook } from './config-book';
+import type { TargetEntry } from './directory';
+import type { Engines } from './engines';
+import { ItemRun, type RunOutcome } from './item-run';
+import { ItemTask, type ItemText } from './item-task';
+import type { EngineView, PlacementPolicy } from './placement';
+import type { ResultWriter } from './result-writer';
+import type { RewardCaller } from './reward-caller';
+import type { ModelId, ServingRoute } from './serving-config';
+import type { BookChange, ItemId, Submission, SubmissionBook } from './submission';
+import type { TargetClient } from './target-port';
+import type { HandoverNote } from './work-records';
+import type { WorkOrder } from './work-queue';
+
+// How often silent streams and items held back are looked at.
+const TICK_MS = 50;
+// A stream may not take longer than this; its item then goes on in another one.
+const RUN_DEADLINE_MS = 10_000;
+// An item that an engine refused waits this long, so that the engine isn't asked at once again.
+const REFUSED_PAUSE_MS = 60;
+// Texts of ended submissions that may be taken up by a later one.
+const SHELF_TEXTS = 2_000;
+
+/** What a runner needs. */
+export interface WorkRunnerOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly config: ConfigBook;
+  readonly book: SubmissionBook;
+  readonly engines: Engines;
+  readonly client: TargetClient;
+  readonly rewards: RewardCaller;
+  readonly writer: ResultWriter;
+  readonly placement: PlacementPolicy;
+  readonly order: WorkOrder;
+}
+
+/** The work at an engine, for those who decide about its weights. */
+export interface EngineWork {
+  readonly running: number;
+  readonly runningOfModel: number;
+}
+
+/** Places waiting items, follows their streams and writes their results. */
+export class WorkRunner {
+  readonly #options: WorkRunnerOptions;
+
+  readonly #tasks = new Map<string, ItemTask>();
+
+  readonly #waiting = new Set<ItemTask>();
+
+  readonly #runs = new Map<TargetId, Set<ItemRun>>();
+
+  readonly #shelf = new Map<ItemId, ItemText>();
+
+  readonly #idle = new Set<() => void>();
+
+  #isActive = false;
+
+  #isDraining = false;
+
+  #isScheduled = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param options - the submissions, the engines and the decisions */
+  constructor(options: WorkRunnerOptions) {
+    this.#options = options;
+    options.book.onChanged((change) => this.#onChange(change));
+  }
+
+  get isActive(): boolean {
+    return this.#isActive;
+  }
+
+  /** Items of a model that wait for an engine. */
+  waitingOf(model: ModelId): number {
+    return [...this.#waiting].filter((task) => readModel(task) === model).length;
+  }
+
+  /** Items that wait or run. */
+  get openItems(): number {
+    return this.#tasks.size;
+  }
+
+  /** Counts the streams at an engine. */
+  workAt(engine: TargetId, model: ModelId): EngineWork {
+    const runs = [...(this.#runs.get(engine) ?? [])];
+    const ofModel = runs.filter((run) => run.model === model);
+    return { running: runs.length, runningOfModel: ofModel.length };
+  }
+
+  /** Starts to run all open items. */
+  start(): void {
+    if (this.#isActive) return;
+    this.#isActive = true;
+    this.#isDraining = false;
+    this.#options.book.listOpen().forEach((submission) => this.#add(submission));
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#options.logger.info('Runs submissions.', { items: this.#tasks.size });
+    this.schedule();
+  }
+
+  /** Stops; another process has taken over. */
+  stop(): void {
+    if (!this.#isActive) return;
+    this.#isActive = false;
+    clearInterval(this.#timer);
+    [...this.#tasks.values()].forEach((task) => this.#drop(task));
+    this.#options.logger.info('No longer runs submissions.');
+  }
+
+  /**
+   * Starts no further items.
+   *
+   * @param until - until when running ones may go on
+   * @returns what runs, for the successor
+   */
+  drain(until: WallTime): HandoverNote {
+    this.#isDraining = true;
+    const items = [...this.#tasks.values()]
+      .filter((task) => !this.#waiting.has(task))
+      .map((task) => ({ submission: task.submission.terms.id, item: task.spec.id }));
+    return { until, items };
+  }
+
+  /** Resolves when nothing runs any more, or after a time. */
+  async settle(mostMs: Millis): Promise<void> {
+    const stop = new AbortController();
+    const idle = new Promise<void>((resolve) => {
+      this.#idle.add(resolve);
+      this.#noticeIdle();
+    });
+    await Promise.race([idle, this.#options.clock.sleep(mostMs, stop.signal)]);
+    stop.abort();
+  }
+
+  /** Places waiting items soon; several calls in one turn of the event loop count once. */
+  schedule(): void {
+    if (this.#isScheduled || !this.#isActive) return;
+    this.#isScheduled = true;
+    setImmediate(() => {
+      this.#isScheduled = false;
+      this.#place();
+    });
+  }
+
+  #onChange(change: BookChange): void {
+    if (!this.#isActive) return;
+    if (change.type === 'accepted') this.#add(change.submission);
+    if (change.type === 'ended') this.#end(change.submission);
+    if (change.type === 'listed') this.#dropItem(change.submission, change.item);
+    this.schedule();
+  }
+
+  #add(submission: Submission): void {
+    const route = this.#findRoute(submission);
+    this.#options.order.note(submission);
+    [...submission.items]
+      .filter((item) => !submission.isListed(item.id))
+      .forEach((item) => this.#addItem(submission, item, route));
+    this.schedule();
+  }
+
+  #addItem(submission: Submission, spec: ItemSpec, route: ServingRoute | undefined): void {
+    const key = taskKey(submission, spec.id);
+    if (this.#tasks.has(key)) return;
+    const task = new ItemTask(submission, spec, route?.isSingleVersion ?? false);
+    const text = this.#shelf.get(spec.id);
+    if (text) task.adopt(text);
+    this.#shelf.delete(spec.id);
+    const heldMs = submission.heldUntil(spec.id) - this.#options.clock.wall();
+    if (heldMs > 0) task.holdUntil(this.#options.clock, heldMs);
+    this.#tasks.set(key, task);
+    this.#waiting.add(task);
+  }
+
+  #end(submission: Submission): void {
+    [...this.#tasks.values()]
+      .filter((task) => task.submission === submission)
+      .forEach((task) => {
+        if (task.isBegun) this.#keepText(task);
+        this.#drop(task);
+      });
+  }
+
+  #keepText(task: ItemTask): void {
+    const [oldest] = this.#shelf.keys();
+    if (this.#shelf.size >= SHELF_TEXTS && oldest !== undefined) this.#shelf.delete(oldest);
+    this.#shelf.set(task.spec.id, task.text);
+  }
+
+  #dropItem(submission: Submission, item: ItemId): void {
+    const task = this.#tasks.get(taskKey(submission, item));
+    if (task) this.#drop(task);
+  }
+
+  #drop(task: ItemTask): void {
+    Object.assign(task, { isStopped: true });
+    this.#tasks.delete(taskKey(task.submission, task.spec.id));
+    this.#waiting.delete(task);
+    this.#runs.forEach((runs) => {
+      [...runs].filter((run) => run.task === task).forEach((run) => run.cancel());
+    });
+    this.#noticeIdle();
+  }
+
+  #tick(): void {
+    const runs = [...this.#runs.values()].flatMap((set) => [...set]);
+    runs.filter((run) => run.isSilent).forEach((run) => run.abandon());
+    if (this.#waiting.size > 0) this.schedule();
+  }
+
+  #place(): void {
+    if (!this.#isActive || this.#isDraining || this.#waiting.size === 0) return;
+    const now = this.#options.clock.mono();
+    const due = [...this.#waiting].filter((task) => task.isDue(now));
+    const byModel = new Map<ModelId, ItemTask[]>();
+    const routed = due.filter((task) => this.#findItemRoute(task));
+    // The route of an item was withdrawn, so that it can never run.
+    due.filter((task) => !routed.includes(task)).forEach((task) => this.#finish(task, 'dead'));
+    this.#options.order.sort(routed).forEach((task) => {
+      const model = readModel(task);
+      byModel.set(model, [...(byModel.get(model) ?? []), task]);
+    });
+    byModel.forEach((tasks, model) => this.#placeModel(model, tasks));
+  }
+
+  #placeModel(model: ModelId, tasks: readonly ItemTask[]): void {
+    const engines = this.#listEngines(tasks[0]);
+    const views = engines.map((engine) => this.#view(engine, model));
+    const placements = this.#options.placement.place(tasks, views);
+    placements.forEach(({ item, engine: id }) => {
+      const engine = engines.find((one) => one.id === id);
+      const route = this.#findItemRoute(item);
+      if (engine && route) this.#run(item, engine, model, route);
+    });
+  }
+
+  #listEngines(task: ItemTask | undefined): TargetEntry[] {
+    const service = task && this.#findItemRoute(task)?.backends[0]?.service;
+    if (!service) return [];
+    const all = this.#options.engines.list(service);
+    const sound = all.filter((engine) => !this.#options.engines.isAvoided(engine));
+    return sound.length > 0 ? sound : all;
+  }
+
+  #view(engine: TargetEntry, model: ModelId): EngineView {
+    const { engines } = this.#options;
+    return {
+      id: engine.id,
+      running: this.#runs.get(engine.id)?.size ?? 0,
+      slots: engine.slots,
+      version: engines.versionOf(engine, model),
+      isLoading: engines.isLoading(engine, model),
+      msPerEvent: engines.msPerEvent(engine),
+    };
+  }
+
+  #run(task: ItemTask, engine: TargetEntry, model: ModelId, route: ServingRoute): void {
+    const { clock, client, engines, logger, metrics } = this.#options;
+    const { terms } = task.submission;
+    const { lastNumber } = task.text;
+    this.#waiting.delete(task);
+    metrics.count('item.started');
+    const run = new ItemRun({
+      clock,
+      client,
+      engines,
+      logger,
+      engine,
+      model,
+      task,
+      call: {
+        target: engine,
+        method: 'POST',
+        path: task.spec.path,
+        host: terms.host,
+        headers: Object.entries(task.spec.headers).flat(),
+        body: Buffer.from(task.spec.body, 'base64'),
+        id: task.spec.id as string as RequestId,
+        deadlineMs: RUN_DEADLINE_MS,
+        team: terms.team,
+        expectVersion: engines.versionOf(engine, model),
+        ...(lastNumber !== undefined && { resumeAfter: lastNumber }),
+      },
+      onEnd: (ended, outcome) => this.#onRunEnd(ended, outcome, route),
+    });
+    const runs = this.#runs.get(engine.id) ?? new Set<ItemRun>();
+    this.#runs.set(engine.id, runs);
+    runs.add(run);
+  }
+
+  #onRunEnd(run: ItemRun, outcome: RunOutcome, route: ServingRoute): void {
+    const { task, engine } = run;
+    this.#runs.get(engine.id)?.delete(run);
+    this.#options.metrics.count(`run.${outcome}`);
+    this.schedule();
+    if (task.isStopped) return;
+    if (outcome === 'complete') {
+      void this.#score(task);
+      return;
+    }
+    if (outcome === 'server-error') task.serverErrors += 1;
+    if (outcome === 'impossible' || task.serverErrors >= route.maxRuns) {
+      this.#finish(task, 'dead');
+      return;
+    }
+    if (outcome === 'refused' || outcome === 'wrong-version') {
+      task.holdUntil(this.#options.clock, REFUSED_PAUSE_MS);
+    } else {
+      task.avoid.add(engine.id);
+    }
+    this.#waiting.add(task);
+  }
+
+  async #score(task: ItemTask): Promise<void> {
+    const { reward } = task.spec;
+    if (!reward) {
+      this.#finish(task, 'complete');
+      return;
+    }
+    const outcome = await this.#options.rewards.call(task, reward);
+    if (outcome.type === 'scored') this.#finish(task, 'complete', outcome.receipt);
+    if (outcome.type === 'failed') this.#finish(task, 'dead');
+  }
+
+  #finish(task: ItemTask, state: 'complete' | 'dead', score?: string): void {
+    if (task.isStopped) return;
+    const { events, versions } = task.text;
+    this.#options.metrics.count(`item.${state}`);
+    this.#options.writer.add(task.submission.terms.id, {
+      item: task.spec.id,
+      state,
+      output: state === 'complete' ? events.join('\n') : '',
+      versions: state === 'complete' ? versions : [],
+      score,
+    });
+    this.#drop(task);
+  }
+
+  #findRoute({ terms }: Submission): ServingRoute | undefined {
+    return this.#options.config.view?.findRoute(terms.host, terms.path);
+  }
+
+  #findItemRoute(task: ItemTask): ServingRoute | undefined {
+    return this.#options.config.view?.findRoute(task.submission.terms.host, task.spec.path);
+  }
+
+  #noticeIdle(): void {
+    const running = [...this.#tasks.values()].some((task) => !this.#waiting.has(task));
+    if (running) return;
+    this.#idle.forEach((resolve) => resolve());
+    this.#idle.clear();
+  }
+}
+
+function taskKey(submission: Submission, item: ItemId): string {
+  return `${submission.terms.id} ${item}`;
+}
+
+function readModel(task: ItemTask): ModelId {
+  return (task.submission.terms.model ?? '') as ModelId;
+}
--- a/packages/platform/src/guarded-sender.ts
+++ b/packages/log/src/guarded-sender.ts
@@ -21,6 +21,8 @@
   readonly method: 'POST' | 'PUT';
   readonly path: string;
   readonly body: unknown;
+  /** Headers beside those of the body. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** When the call is abandoned and its connection reset, in milliseconds from the write. */
   readonly deadlineMs: Millis;
   /** Whether the call may be written now, until `deadlineMs` from now. */
@@ -95,6 +97,7 @@
       method: call.method,
       path: `${this.#prefix}${call.path}`,
       headers: {
+        ...call.headers,
         host: this.#url.host,
         'content-type': 'application/json',
         'content-length': length,
--- a/packages/platform/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -181,12 +181,18 @@
 }
 
 /**
- * Encodes a JSON body.
+ * Encodes a body: bytes as they are, anything else as JSON.
  *
  * @param body - the value, or undefined for none
  * @returns the body and its header
  */
-export function encodeBody(body: unknown): { body?: string; headers?: Record<string, string> } {
+export function encodeBody(body: unknown): {
+  body?: string | Uint8Array;
+  headers?: Record<string, string>;
+} {
   if (body === undefined) return {};
+  if (body instanceof Uint8Array) {
+    return { body, headers: { 'content-type': 'application/octet-stream' } };
+  }
   return { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } };
 }
--- a/packages/platform/src/index.ts
+++ b/packages/log/src/index.ts
@@ -14,9 +14,19 @@
 export { Backoff } from './backoff';
 export type { BackoffOptions } from './backoff';
 
+export { KeyedLog } from './keyed-log';
+export type { KeyedPage, KeyedReadOptions, KeyedRecord, KeyedSnapshot } from './keyed-log';
+
+export { KeyedReader, KeyedTail } from './keyed-tail';
+export type { KeyedTailOptions } from './keyed-tail';
+
+export { GuardedSender } from './guarded-sender';
+export type { GuardedCall } from './guarded-sender';
+
 export { HttpLog } from './http-log';
 export type { HttpLogOptions } from './http-log';
-export type { HttpClientOptions } from './http-client';
+export { HttpClient, classifyRefusal, readAnswer } from './http-client';
+export type { HttpAnswer, HttpCall, HttpClientOptions } from './http-client';
 
 export { MemoryLog } from './memory-log';
 export type { AppendEvent, LogFaults, MemoryLogOptions } from './memory-log';
--- a/packages/platform/src/log-tail.ts
+++ b/packages/log/src/log-tail.ts
@@ -111,7 +111,7 @@
     this.#doubtful = new KnownIds(DOUBTFUL_IDS);
     this.#backoff = new Backoff(options.random ?? createRandomSource());
     this.#metrics = options.metrics;
-    this.#logger = createLogger(`platform.tail.${options.stream}`);
+    this.#logger = createLogger(`log.tail.${options.stream}`);
     this.#next = options.from ?? (0 as Offset);
   }
 
@@ -230,7 +230,7 @@
     this.#backoff.reset();
     page.records.forEach((record) => this.#deliver(record));
     this.#next = page.next;
-    if (page.records.length < PAGE_LIMIT) {
+    if (reachesEnd(page)) {
       this.#caughtUpAt = sentAt;
       this.#caughtUpRead = this.#sentReads;
     }
@@ -294,3 +294,7 @@
     });
   }
 }
+
+function reachesEnd({ records, next, end }: LogPage): boolean {
+  return end === undefined ? records.length < PAGE_LIMIT : next >= end;
+}
--- a/packages/platform/src/log.ts
+++ b/packages/log/src/log.ts
@@ -3,7 +3,7 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 /** A named stream of the log. Each stream has its own offsets, dense and from zero. */
-export type StreamName = 'config' | 'targets' | 'usage' | `trainer.${string}`;
+export type StreamName = 'config' | 'targets' | 'usage' | 'work' | `trainer.${string}`;
 
 /** What a process appends. */
 export interface NewRecord {
@@ -22,6 +22,8 @@
 export interface LogPage {
   readonly records: readonly LogRecord[];
   readonly next: Offset;
+  /** The stream's end when the page was read; a log that leaves it out fills every page. */
+  readonly end?: Offset;
 }
 
 /** The offsets that a stream holds at present: from `first` up to but without `next`. */
--- a/packages/rollout/bench/steps.ts
+++ b/packages/rollout/bench/steps.ts
@@ -10,7 +10,7 @@
   type WeightVersion,
 } from '@hibiscushill/base';
 import { Trainer } from '@hibiscushill/config';
-import { LogTail, MemoryLog, type LogRecord } from '@hibiscushill/platform';
+import { LogTail, MemoryLog, type LogRecord } from '@hibiscushill/log';
 import { isSome, none, some, type Option } from 'fp-ts/Option';
 
 import {
--- a/packages/rollout/src/desk-types.ts
+++ b/packages/rollout/src/desk-types.ts
@@ -11,7 +11,7 @@
   WeightVersion,
 } from '@hibiscushill/base';
 import type { Trainer } from '@hibiscushill/config';
-import type { NewRecord } from '@hibiscushill/platform';
+import type { NewRecord } from '@hibiscushill/log';
 import type { ResultAsync } from 'neverthrow';
 
 import type { ClaimReader } from './history';
--- a/packages/rollout/src/desk.ts
+++ b/packages/rollout/src/desk.ts
@@ -10,7 +10,7 @@
   type TrainerId,
   type WeightVersion,
 } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { isSome, none, some, type Option } from 'fp-ts/Option';
 import { err, ok, type Result } from 'neverthrow';
 
--- a/packages/rollout/src/fencing.ts
+++ b/packages/rollout/src/fencing.ts
@@ -1,7 +1,7 @@
 /** Fencing numbers of trainers' duties, from the records of their streams. */
 import type { Failure, FencingNumber, Offset, TrainerId } from '@hibiscushill/base';
 import { ClaimHistory, NO_CLAIM } from '@hibiscushill/control';
-import type { Log, LogRecord, StreamName } from '@hibiscushill/platform';
+import type { Log, LogRecord, StreamName } from '@hibiscushill/log';
 import { type Option, getOrElse, none, some } from 'fp-ts/Option';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
--- a/packages/rollout/src/history.ts
+++ b/packages/rollout/src/history.ts
@@ -1,6 +1,6 @@
 /** The state of a trainer, folded from its stream by every reader alike. */
 import type { FencingNumber, RecordId, StepId, TrainerId } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { type Option, fromNullable, isSome } from 'fp-ts/Option';
 
 import {
--- a/packages/rollout/src/journal.ts
+++ b/packages/rollout/src/journal.ts
@@ -10,7 +10,7 @@
   type Offset,
   type RecordId,
 } from '@hibiscushill/base';
-import type { NewRecord } from '@hibiscushill/platform';
+import type { NewRecord } from '@hibiscushill/log';
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 
 import type { TrainerHistory } from './history';
--- a/packages/rollout/test/fencing.test.ts
+++ b/packages/rollout/test/fencing.test.ts
@@ -1,7 +1,7 @@
 /** Fencing numbers read from a trainer's stream. */
 import { ManualClock, createId, type RecordId } from '@hibiscushill/base';
 import { DUTY_KINDS } from '@hibiscushill/control';
-import { MemoryLog } from '@hibiscushill/platform';
+import { MemoryLog } from '@hibiscushill/log';
 import { expect, test } from 'vitest';
 
 import { nameDuty, nameStream, readFencing } from '../src';
--- a/packages/rollout/test/history.test.ts
+++ b/packages/rollout/test/history.test.ts
@@ -6,7 +6,7 @@
   type SampleId,
   type WallTime,
 } from '@hibiscushill/base';
-import type { LogRecord } from '@hibiscushill/platform';
+import type { LogRecord } from '@hibiscushill/log';
 import { toUndefined } from 'fp-ts/Option';
 import { expect, test } from 'vitest';
 
--- a/packages/rollout/test/support.ts
+++ b/packages/rollout/test/support.ts
@@ -23,7 +23,7 @@
   appendOnce,
   type AppendEvent,
   type LogRecord,
-} from '@hibiscushill/platform';
+} from '@hibiscushill/log';
 import { isSome, none, some, type Option } from 'fp-ts/Option';
 import { ResultAsync, err, errAsync, ok, type Result } from 'neverthrow';
 
