--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   'control',
   'routing',
   'rollout',
+  'gateway',
   'entry',
   'agent',
   'ctl',
@@ -30,6 +31,7 @@
             group: [`@hibiscushill/${higher}`, `@hibiscushill/${higher}/*`],
             message: `${name} is below ${higher} in the layering.`,
           })),
+          { group: ['@hibiscushill/platform'], message: 'Nothing imports the adapter.' },
           {
             group: ['@hibiscushill/*/*'],
             message: 'Import a package through its index only.',
@@ -40,9 +42,42 @@
   },
 }));
 
+// The adapter stands above the parts whose ports it implements; nothing stands above it.
+const ADAPTER_MAY_IMPORT = ['base', 'log', 'gateway'];
+
+const adapterRules = [
+  {
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            ...LAYERS.filter((name) => !ADAPTER_MAY_IMPORT.includes(name)).map((name) => ({
+              group: [`@hibiscushill/${name}`, `@hibiscushill/${name}/*`],
+              message: 'The adapter implements ports only.',
+            })),
+            {
+              group: ['@hibiscushill/*/*'],
+              message: 'Import a package through its index only.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+];
+
 export default tseslint.config(
   {
-    ignores: ['**/node_modules/**', 'dist/**', 'out/**', 'packages/protocol/src/generated/**'],
+    ignores: [
+      '**/node_modules/**',
+      'dist/**',
+      'out/**',
+      'target/**',
+      'journal/**',
+      'packages/protocol/src/generated/**',
+    ],
   },
   plugins.stylistic,
   plugins.importX,
@@ -76,11 +111,12 @@
     },
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {
       // neverthrow names its accessors for tests so.
       'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
     },
   },
+  ...adapterRules,
   ...layerRules,
 );
--- a/packages/fakes/bench/log-client.ts
+++ b/packages/fakes/bench/log-client.ts
@@ -2,13 +2,7 @@
 import { randomUUID } from 'node:crypto';
 
 import { type Offset, RandomSource, type RecordId, SystemClock } from '@hibiscushill/base';
-import {
-  HttpLog,
-  LogTail,
-  type NewRecord,
-  type StreamName,
-  appendOnce,
-} from '@hibiscushill/log';
+import { HttpLog, LogTail, type NewRecord, type StreamName, appendOnce } from '@hibiscushill/log';
 
 import { Cutter, FakeLog, FakeServer } from '../src';
 
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -1,11 +1,6 @@
 /** The stand-in for the platform's log. */
 import { type Offset, SystemClock } from '@hibiscushill/base';
-import {
-  type AppendEvent,
-  MemoryLog,
-  type NewRecord,
-  type StreamName,
-} from '@hibiscushill/log';
+import { type AppendEvent, MemoryLog, type NewRecord, type StreamName } from '@hibiscushill/log';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -126,8 +126,7 @@
 
 /** Either the wanted value or an answer of the system's own. */
 export type Outcome<T> =
-  | { readonly isOk: true; readonly value: T }
-  | { readonly isOk: false; readonly answer: OwnAnswer };
+  { readonly isOk: true; readonly value: T } | { readonly isOk: false; readonly answer: OwnAnswer };
 
 /** Which submission a call is about, and who calls. */
 export interface SubmissionCall {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -193,7 +193,8 @@
 
   #findRoute(req: CallerRequest): Outcome<ServingRoute> {
     const { view } = this.#options.config;
-    if (!view) return { isOk: false, answer: this.#sendElsewhere('not_ready', 'No configuration.') };
+    if (!view)
+      return { isOk: false, answer: this.#sendElsewhere('not_ready', 'No configuration.') };
     const route = view.findRoute(req.host, req.path);
     if (route) return { isOk: true, value: route };
     return { isOk: false, answer: createAnswer('route_unknown', 'No route matches.') };
@@ -202,7 +203,8 @@
   #checkKey(route: ServingRoute | undefined, key: string | undefined): Outcome<Access> {
     const { config } = this.#options;
     const { view } = config;
-    if (!view) return { isOk: false, answer: this.#sendElsewhere('not_ready', 'No configuration.') };
+    if (!view)
+      return { isOk: false, answer: this.#sendElsewhere('not_ready', 'No configuration.') };
     if (!view.needsKeys || route?.isPublic) {
       return { isOk: true, value: { team: undefined, key: undefined } };
     }
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,6 +1,5 @@
 /** One HTTP request and its answer, over connections that are kept for further ones. */
 import type { Clock, Metrics, Millis, MonoTime } from '@hibiscushill/base';
-import type { Socket } from 'node:net';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
 /** A request as it is written. */
@@ -90,7 +89,7 @@
     try {
       connection.client.dispatch(
         {
-          method: req.method as Dispatcher.HttpMethod,
+          method: req.method,
           path: req.path,
           headers: [...req.headers],
           body: req.body ?? null,
@@ -150,7 +149,7 @@
           connection.wasReset = false;
           // The library takes a reset for the end of an answer without a length; this tells them
           // apart, and is registered before the library's own handler.
-          (socket as Socket).on('error', () => {
+          socket.on('error', () => {
             connection.wasReset = true;
           });
           callback(null, socket);
@@ -185,11 +184,7 @@
 
   #closes = false;
 
-  constructor(
-    connection: KeptConnection,
-    sink: ExchangeSink,
-    settle: (isKept: boolean) => void,
-  ) {
+  constructor(connection: KeptConnection, sink: ExchangeSink, settle: (isKept: boolean) => void) {
     this.#connection = connection;
     this.#sink = sink;
     this.#settle = settle;
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -28,12 +28,11 @@
   /** Engines that broke off or kept silent on this item. */
   readonly avoid = new Set<TargetId>();
 
-  /** Answers of 500 to the item and to its reward call. */
-  serverErrors = 0;
+  #serverErrors = 0;
 
-  rewardErrors = 0;
+  #rewardErrors = 0;
 
-  isStopped = false;
+  #isStopped = false;
 
   #events: string[] = [];
 
@@ -54,6 +53,21 @@
     this.isSingleVersion = isSingleVersion;
   }
 
+  /** Answers of 500 to the item. */
+  get serverErrors(): number {
+    return this.#serverErrors;
+  }
+
+  /** Answers of 500 to its reward call. */
+  get rewardErrors(): number {
+    return this.#rewardErrors;
+  }
+
+  /** Whether it has a result, or needs none any more. */
+  get isStopped(): boolean {
+    return this.#isStopped;
+  }
+
   get group(): string {
     return this.spec.group;
   }
@@ -76,6 +90,19 @@
     return this.#events.length > 0;
   }
 
+  countServerError(): void {
+    this.#serverErrors += 1;
+  }
+
+  countRewardError(): void {
+    this.#rewardErrors += 1;
+  }
+
+  /** Ends all work on it. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Tells whether it may start now. */
   isDue(now: MonoTime): boolean {
     return now >= this.#notBefore;
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -294,7 +294,10 @@
     const run = this.#runs > 0 ? 'may-have-run' : 'not-run';
     this.#active.forEach((attempt) => attempt.abandon());
     if (run === 'not-run') return this.#refuse('deadline_unreachable', ELSEWHERE_RETRY_MS);
-    return { type: 'refused', answer: createAnswer('deadline_exceeded', this.#lastReason, { run }) };
+    return {
+      type: 'refused',
+      answer: createAnswer('deadline_exceeded', this.#lastReason, { run }),
+    };
   }
 
   #giveUp(): ForwardResult {
--- a/packages/gateway/src/reward-caller.ts
+++ b/packages/gateway/src/reward-caller.ts
@@ -13,8 +13,7 @@
 
 /** The score of an item, or why it has none. */
 export type RewardOutcome =
-  | { readonly type: 'scored'; readonly receipt: string }
-  | { readonly type: 'failed' | 'stopped' };
+  { readonly type: 'scored'; readonly receipt: string } | { readonly type: 'failed' | 'stopped' };
 
 /** What a reward caller runs on. */
 export interface RewardCallerOptions {
@@ -74,7 +73,7 @@
       mayRun: () => !task.isStopped,
       signal: new AbortController().signal,
       onServerError: () => {
-        task.rewardErrors += 1;
+        task.countRewardError();
       },
     });
     if (result.type === 'streaming') result.attempt.cancel();
--- a/packages/gateway/src/submission.ts
+++ b/packages/gateway/src/submission.ts
@@ -1,12 +1,5 @@
 /** Submissions as every reader of the log works them out alike. */
-import type {
-  Brand,
-  Millis,
-  RequestId,
-  TeamId,
-  WallTime,
-  WeightVersion,
-} from '@hibiscushill/base';
+import type { Brand, Millis, RequestId, TeamId, WallTime, WeightVersion } from '@hibiscushill/base';
 import type { LogRecord } from '@hibiscushill/log';
 
 import type { ItemResult, ItemSpec } from './caller-port';
--- a/packages/gateway/src/target-port.ts
+++ b/packages/gateway/src/target-port.ts
@@ -1,11 +1,5 @@
 /** How the gateway calls a target, whatever the target's protocol. */
-import type {
-  Millis,
-  RequestId,
-  RunState,
-  TeamId,
-  WeightVersion,
-} from '@hibiscushill/base';
+import type { Millis, RequestId, RunState, TeamId, WeightVersion } from '@hibiscushill/base';
 
 import type { TargetEntry } from './directory';
 
--- a/packages/gateway/src/usage-duty.ts
+++ b/packages/gateway/src/usage-duty.ts
@@ -1,12 +1,5 @@
 /** Counts usage at every process, and reports it from the one that has the duty. */
-import type {
-  Clock,
-  InstanceId,
-  Logger,
-  Metrics,
-  TeamId,
-  WallTime,
-} from '@hibiscushill/base';
+import type { Clock, InstanceId, Logger, Metrics, TeamId, WallTime } from '@hibiscushill/base';
 import type { FencedSender } from '@hibiscushill/control';
 import type { Log } from '@hibiscushill/log';
 
--- a/packages/gateway/src/weight-duty.ts
+++ b/packages/gateway/src/weight-duty.ts
@@ -94,9 +94,7 @@
   }
 
   #start(service: ServingService, change: WeightChange): void {
-    const engine = this.#options.engines
-      .list(service.name)
-      .find((one) => one.id === change.engine);
+    const engine = this.#options.engines.list(service.name).find((one) => one.id === change.engine);
     const key = changeKey(change.engine, change.model);
     if (!engine || this.#changing.has(key)) return;
     this.#changing.add(key);
@@ -122,10 +120,7 @@
     if (verdict !== 'accepted' && verdict !== 'holds') await clock.sleep(PAUSE_MS);
   }
 
-  async #send(
-    engine: TargetEntry,
-    order: Parameters<EngineControl['order']>[1],
-  ): Promise<string> {
+  async #send(engine: TargetEntry, order: Parameters<EngineControl['order']>[1]): Promise<string> {
     const { control, sender, holder } = this.#options;
     const result = await sender.send((fencing, guard) =>
       control.order(engine, order, { holder, fencing }, guard),
@@ -152,7 +147,9 @@
   }
 
   #learn(engine: TargetEntry, versions: ReadonlyMap<ModelId, WeightVersion>): void {
-    versions.forEach((version, model) => this.#options.engines.learnVersion(engine, model, version));
+    versions.forEach((version, model) =>
+      this.#options.engines.learnVersion(engine, model, version),
+    );
     this.#options.runner.schedule();
   }
 }
--- a/packages/gateway/src/window-counts.ts
+++ b/packages/gateway/src/window-counts.ts
@@ -65,7 +65,7 @@
         total[team] = (total[team] ?? 0) + count;
       });
     });
-    return total as TeamCounts;
+    return total;
   }
 
   /** Takes the next record of the stream; other kinds are ignored. */
@@ -76,7 +76,7 @@
     }
     if (record.kind === COUNT_KINDS.closed) {
       const parsed = Closed.safeParse(record.payload);
-      if (parsed.success) this.#close(parsed.data.window, parsed.data.counts as TeamCounts);
+      if (parsed.success) this.#close(parsed.data.window, parsed.data.counts);
     }
   }
 
@@ -85,7 +85,7 @@
     const window = this.#open.get(body.window) ?? new Map<string, TeamCounts>();
     this.#open.set(body.window, window);
     const known = window.get(body.incarnation) ?? {};
-    window.set(body.incarnation, maxCounts(known, body.counts as TeamCounts));
+    window.set(body.incarnation, maxCounts(known, body.counts));
   }
 
   #close(window: number, figures: TeamCounts): void {
@@ -153,5 +153,5 @@
   Object.entries(b).forEach(([team, count]) => {
     total[team] = Math.max(total[team] ?? 0, count);
   });
-  return total as TeamCounts;
+  return total;
 }
--- a/packages/gateway/src/work-records.ts
+++ b/packages/gateway/src/work-records.ts
@@ -120,9 +120,15 @@
 export function parseWorkRecord(record: LogRecord): WorkRecord | undefined {
   switch (record.kind) {
     case WORK_KINDS.accepted:
-      return read(Accepted, record, (body) => ({ type: 'accepted', body: body as unknown as AcceptedPart }));
+      return read(Accepted, record, (body) => ({
+        type: 'accepted',
+        body: body as unknown as AcceptedPart,
+      }));
     case WORK_KINDS.results:
-      return read(Results, record, (body) => ({ type: 'results', body: body as unknown as ResultsNote }));
+      return read(Results, record, (body) => ({
+        type: 'results',
+        body: body as unknown as ResultsNote,
+      }));
     case WORK_KINDS.ended:
       return read(Ended, record, (body) => ({ type: 'ended', body }));
     case WORK_KINDS.handover:
@@ -139,10 +145,7 @@
  * @param items - its items
  * @returns one record for each part
  */
-export function createAccepted(
-  terms: SubmissionTerms,
-  items: readonly ItemSpec[],
-): NewRecord[] {
+export function createAccepted(terms: SubmissionTerms, items: readonly ItemSpec[]): NewRecord[] {
   return splitItems(items).map((part, index) =>
     createRecord(WORK_KINDS.accepted, { terms, part: index, items: part } satisfies AcceptedPart),
   );
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -209,7 +209,7 @@
   }
 
   #drop(task: ItemTask): void {
-    Object.assign(task, { isStopped: true });
+    task.stop();
     this.#tasks.delete(taskKey(task.submission, task.spec.id));
     this.#waiting.delete(task);
     this.#runs.forEach((runs) => {
@@ -314,7 +314,7 @@
       void this.#score(task);
       return;
     }
-    if (outcome === 'server-error') task.serverErrors += 1;
+    if (outcome === 'server-error') task.countServerError();
     if (outcome === 'impossible' || task.serverErrors >= route.maxRuns) {
       this.#finish(task, 'dead');
       return;
--- /dev/null
+++ b/packages/gateway/test/directory.test.ts
@@ -0,0 +1,71 @@
+import { ManualClock, type TargetId, type WallTime } from '@hibiscushill/base';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { TargetDirectory } from '../src/directory';
+import { SERVICE, createMetrics, createTarget } from './support';
+
+const ID = 't1' as TargetId;
+
+let clock: ManualClock;
+let directory: TargetDirectory;
+let isOutage: boolean;
+
+beforeEach(() => {
+  clock = new ManualClock(1_000);
+  isOutage = false;
+  directory = new TargetDirectory({ clock, metrics: createMetrics() });
+  directory.followOutage(() => isOutage);
+});
+
+describe('the list of targets', () => {
+  it('sends nothing to a target from the moment it says that it is draining', () => {
+    directory.take(createTarget(ID));
+    directory.take(createTarget(ID, { isDraining: true, heartbeat: 2 }));
+    expect(directory.listUsable(SERVICE)).toEqual([]);
+    expect(directory.list(SERVICE)).toHaveLength(1);
+  });
+
+  it('ignores heartbeats that arrive after newer ones', () => {
+    directory.take(createTarget(ID, { isDraining: true, heartbeat: 5 }));
+    directory.take(createTarget(ID, { heartbeat: 4 }));
+    expect(directory.listUsable(SERVICE)).toEqual([]);
+  });
+
+  it('takes a restart under the same id, whose heartbeats count anew', () => {
+    directory.take(createTarget(ID, { isDraining: true, heartbeat: 50 }));
+    directory.take(createTarget(ID, { bornAt: 2 as WallTime, heartbeat: 1 }));
+    expect(directory.listUsable(SERVICE)).toHaveLength(1);
+    directory.take(createTarget(ID, { isDraining: true, heartbeat: 51 }));
+    expect(directory.listUsable(SERVICE)).toHaveLength(1);
+  });
+
+  it('drops a target at once when its entry is removed', () => {
+    directory.take(createTarget(ID));
+    directory.remove(ID);
+    expect(directory.find(ID)).toBeUndefined();
+  });
+
+  it('keeps a target whose entry lapsed in an outage until it must be back', () => {
+    directory.take(createTarget(ID));
+    isOutage = true;
+    directory.remove(ID);
+    clock.advance(1_700);
+    expect(directory.find(ID)).toBeDefined();
+    clock.advance(200);
+    expect(directory.find(ID)).toBeUndefined();
+  });
+
+  it('drops a draining target in an outage as well', () => {
+    directory.take(createTarget(ID, { isDraining: true }));
+    isOutage = true;
+    directory.remove(ID);
+    expect(directory.find(ID)).toBeUndefined();
+  });
+
+  it('removes what a whole list leaves out', () => {
+    directory.take(createTarget(ID));
+    directory.take(createTarget('t2'));
+    directory.keepOnly(new Set([ID]));
+    expect(directory.list(SERVICE).map((entry) => entry.id)).toEqual([ID]);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -0,0 +1,207 @@
+import {
+  ManualClock,
+  type MonoTime,
+  RandomSource,
+  type RequestId,
+  type TargetId,
+  type ZoneId,
+} from '@hibiscushill/base';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { TargetDirectory } from '../src/directory';
+import {
+  type ForwardRequest,
+  type ForwardResult,
+  RequestForwarder,
+} from '../src/request-forwarder';
+import type { ServingRoute } from '../src/serving-config';
+import { FastestChooser } from '../src/target-chooser';
+import { TargetStats } from '../src/target-stats';
+import {
+  ManualClient,
+  createMetrics,
+  createRoute,
+  createTarget,
+  logger,
+  pass,
+  settle,
+} from './support';
+
+const ID = 'request-1' as RequestId;
+
+let clock: ManualClock;
+let client: ManualClient;
+let runs: number;
+let forwarder: RequestForwarder;
+let stats: TargetStats;
+let mayRun: boolean;
+
+beforeEach(() => {
+  clock = new ManualClock(1_000);
+  client = new ManualClient();
+  runs = 0;
+  mayRun = true;
+  const metrics = createMetrics();
+  const random = new RandomSource(1);
+  const directory = new TargetDirectory({ clock, metrics });
+  directory.take(createTarget('t1'));
+  directory.take(createTarget('t2'));
+  stats = new TargetStats(clock);
+  stats.setTargets(['t1' as TargetId, 't2' as TargetId]);
+  forwarder = new RequestForwarder({
+    clock,
+    random,
+    metrics,
+    logger,
+    client,
+    directory,
+    stats,
+    chooser: new FastestChooser({ stats, zone: 'zone-a' as ZoneId, random }),
+    onRun: () => {
+      runs += 1;
+    },
+  });
+});
+
+function forward(
+  route: ServingRoute = createRoute(),
+  signal = new AbortController().signal,
+): Promise<ForwardResult> {
+  const req: ForwardRequest = {
+    id: ID,
+    route,
+    team: undefined,
+    method: 'POST',
+    path: '/a/1',
+    host: 'a.example',
+    headers: [],
+    body: Buffer.from('x'),
+    endsAt: (clock.mono() + route.timeoutMs) as MonoTime,
+    mayRun: () => mayRun,
+    signal,
+  };
+  return forwarder.forward(req);
+}
+
+describe('a request that may be repeated', () => {
+  it('is answered with the whole answer of a target', async () => {
+    const result = forward();
+    client.calls[0]?.answer('whole');
+    expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('whole') });
+    expect(runs).toBe(1);
+  });
+
+  it('goes to another target when the answer belongs to another request', async () => {
+    const result = forward();
+    client.calls[0]?.answer('stray', { echo: 'request-0' as RequestId });
+    await settle();
+    expect(client.calls[0]?.isAborted).toBe(true);
+    client.calls[1]?.answer('own');
+    expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('own') });
+  });
+
+  it('goes to another target after a reset, and never to more than its route allows', async () => {
+    const result = forward();
+    client.calls[0]?.fail({ run: 'may-have-run', reason: 'reset' });
+    await settle();
+    client.calls[1]?.fail({ run: 'may-have-run', reason: 'reset' });
+    expect(await result).toMatchObject({
+      type: 'refused',
+      answer: { code: 'outcome_unknown', status: 502, run: 'may-have-run' },
+    });
+    expect(client.calls).toHaveLength(2);
+  });
+
+  it('is asked of a second target when the first is slow, and the loser is ended', async () => {
+    const result = forward();
+    await pass(clock, 120);
+    expect(client.calls).toHaveLength(2);
+    client.calls[1]?.answer('fast');
+    expect(await result).toMatchObject({ type: 'answered' });
+    expect(client.calls[0]?.isAborted).toBe(true);
+  });
+
+  it("returns the target's own failure unchanged once no run is left", async () => {
+    const result = forward();
+    client.calls[0]?.answer('bad', { status: 500 });
+    await settle();
+    client.calls[1]?.answer('bad', { status: 500 });
+    expect(await result).toMatchObject({ type: 'answered', head: { status: 500 } });
+  });
+
+  it('is refused as not run, with when to come back, when every target refuses', async () => {
+    const result = forward();
+    client.calls[0]?.answer('', { status: 503, isNotRun: true });
+    await settle();
+    client.calls[1]?.answer('', { status: 503, isNotRun: true });
+    const refused = await result;
+    expect(refused).toMatchObject({ type: 'refused', answer: { status: 503, run: 'not-run' } });
+    expect(refused.type === 'refused' && refused.answer.retryAfterMs).toBeGreaterThan(0);
+    expect(runs).toBe(0);
+  });
+});
+
+describe('a request that must not be repeated', () => {
+  const route = createRoute({ kind: 'non_idempotent', maxRuns: 3 });
+
+  it('is sent on a connection of its own and only once after a reset', async () => {
+    const result = forward(route);
+    expect(client.calls[0]?.call.isFresh).toBe(true);
+    client.calls[0]?.fail({ run: 'may-have-run', reason: 'reset' });
+    expect(await result).toMatchObject({ type: 'refused', answer: { status: 502 } });
+    expect(client.calls).toHaveLength(1);
+  });
+
+  it('goes to another target when the first says that it has not run', async () => {
+    const result = forward(route);
+    client.calls[0]?.answer('', { status: 421 });
+    await settle();
+    client.calls[1]?.answer('done');
+    expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('done') });
+  });
+
+  it('is not asked of a second target while the first is slow', async () => {
+    void forward(route);
+    await pass(clock, 300);
+    expect(client.calls).toHaveLength(1);
+  });
+});
+
+describe('the end of the time that a request has', () => {
+  it('is answered at once with 504 when a target may have run it', async () => {
+    const result = forward();
+    await pass(clock, 800);
+    expect(await result).toMatchObject({
+      type: 'refused',
+      answer: { status: 504, run: 'may-have-run' },
+    });
+    expect(client.open).toHaveLength(0);
+  });
+
+  it('passes the time left on to each target', async () => {
+    void forward();
+    await pass(clock, 120);
+    expect(client.calls.map((one) => one.call.deadlineMs)).toEqual([800, 700]);
+  });
+});
+
+describe('a caller that has left', () => {
+  it('ends the work at the target', async () => {
+    const gone = new AbortController();
+    const result = forward(createRoute(), gone.signal);
+    await settle();
+    gone.abort();
+    expect(await result).toEqual({ type: 'cancelled' });
+    expect(client.open).toHaveLength(0);
+  });
+});
+
+describe('a key that was withdrawn', () => {
+  it('keeps the request from any further target', async () => {
+    const result = forward();
+    mayRun = false;
+    client.calls[0]?.fail({ run: 'not-run', reason: 'refused' });
+    expect(await result).toMatchObject({ type: 'refused', answer: { code: 'config_stale' } });
+    expect(client.calls).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/support.ts
@@ -0,0 +1,248 @@
+/** Makers of the values that the gateway's tests use. */
+import {
+  type ManualClock,
+  Metrics,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type TeamId,
+  type WallTime,
+  type WeightVersion,
+  type ZoneId,
+  createLogger,
+} from '@hibiscushill/base';
+
+import type { ItemSpec } from '../src/caller-port';
+import type { TargetEntry } from '../src/directory';
+import type {
+  ModelId,
+  ServingConfig,
+  ServingRoute,
+  ServingService,
+  ServingVersion,
+} from '../src/serving-config';
+import type { ItemId, SubmissionId, SubmissionTerms } from '../src/submission';
+import {
+  type CallFailure,
+  EventReader,
+  type StreamEvent,
+  type TargetAnswerHead,
+  type TargetAnswerSink,
+  type TargetCall,
+  TargetClient,
+} from '../src/target-port';
+
+export const MODEL = 'model-a' as ModelId;
+
+export const SERVICE = 'engines' as ServiceId;
+
+export const TEAM = 'team-a' as TeamId;
+
+export const KEY = 'key-a';
+
+export function createMetrics(): Metrics {
+  return new Metrics({ prefix: 'test' });
+}
+
+export const logger = createLogger('test');
+
+export function version(number: number): WeightVersion {
+  return number as WeightVersion;
+}
+
+export function createTarget(id: string, changes: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    id: id as TargetId,
+    service: SERVICE,
+    address: '127.0.0.1:1',
+    zone: 'zone-a' as ZoneId,
+    slots: 8,
+    isDraining: false,
+    coldLeftMs: 0,
+    versions: new Map([[MODEL, version(1)]]),
+    bornAt: 1 as WallTime,
+    heartbeat: 1,
+    ...changes,
+  };
+}
+
+export function createRoute(changes: Partial<ServingRoute> = {}): ServingRoute {
+  return {
+    name: 'route-a',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    kind: 'idempotent',
+    backends: [{ service: SERVICE, weight: 1 }],
+    timeoutMs: 800,
+    goalMs: 200,
+    maxRuns: 2,
+    priority: 0,
+    isPublic: false,
+    isResumable: false,
+    isSingleVersion: false,
+    resultsDueMs: 7_500,
+    retentionMs: 40_000,
+    ...changes,
+  };
+}
+
+export function createConfig(
+  number: number,
+  routes: readonly ServingRoute[] = [createRoute()],
+  keys: readonly string[] = [KEY],
+): ServingConfig {
+  const service: ServingService = {
+    name: SERVICE,
+    maxConnections: 100,
+    models: [MODEL],
+    engineSlots: 8,
+    scale: undefined,
+  };
+  return {
+    version: number as ServingVersion,
+    routes,
+    services: [service],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    teams: [{ name: TEAM, keys, priority: undefined }],
+  };
+}
+
+export function createItem(id: string, changes: Partial<ItemSpec> = {}): ItemSpec {
+  return {
+    id: id as ItemId,
+    path: '/a/1',
+    headers: { Model: MODEL },
+    body: 'AAAA',
+    tokens: 100,
+    group: 'group-a',
+    reward: undefined,
+    expectedTokens: undefined,
+    ...changes,
+  };
+}
+
+export function createTerms(
+  id: string,
+  itemCount: number,
+  changes: Partial<SubmissionTerms> = {},
+): SubmissionTerms {
+  return {
+    id: id as SubmissionId,
+    team: TEAM,
+    host: 'a.example',
+    path: '/a/1',
+    step: 1,
+    model: MODEL,
+    leastVersion: version(1),
+    wantedGroups: undefined,
+    submittedAt: 0 as WallTime,
+    dueMs: 7_500,
+    retentionMs: 40_000,
+    itemCount,
+    ...changes,
+  };
+}
+
+export function createHead(
+  id: RequestId,
+  changes: Partial<TargetAnswerHead> = {},
+): TargetAnswerHead {
+  return {
+    status: 200,
+    headers: [],
+    echo: id,
+    isNotRun: false,
+    receipt: 'receipt',
+    load: undefined,
+    version: undefined,
+    isEventStream: false,
+    ...changes,
+  };
+}
+
+/** A call that a test answers. */
+export class OpenCall {
+  readonly call: TargetCall;
+
+  readonly sink: TargetAnswerSink;
+
+  isAborted = false;
+
+  constructor(call: TargetCall, sink: TargetAnswerSink) {
+    this.call = call;
+    this.sink = sink;
+  }
+
+  answer(body: string, changes: Partial<TargetAnswerHead> = {}): void {
+    this.sink.onHead(createHead(this.call.id, changes));
+    this.sink.onData(Buffer.from(body));
+    this.sink.onEnd();
+  }
+
+  stream(first: number, texts: readonly string[], head: Partial<TargetAnswerHead> = {}): void {
+    this.sink.onHead(
+      createHead(this.call.id, { isEventStream: true, version: version(1), ...head }),
+    );
+    this.push(first, texts);
+  }
+
+  push(first: number, texts: readonly string[]): void {
+    const events = texts.map((data, index) => ({ number: first + index, data }));
+    this.sink.onData(Buffer.from(JSON.stringify(events)));
+  }
+
+  fail(failure: CallFailure): void {
+    this.sink.onFailure(failure);
+  }
+}
+
+class JsonEventReader extends EventReader {
+  override feed(chunk: Buffer): StreamEvent[] {
+    const events = JSON.parse(chunk.toString()) as Omit<StreamEvent, 'version'>[];
+    return events.map((event) => ({ version: undefined, ...event }));
+  }
+}
+
+/** A client whose calls a test answers by hand. */
+export class ManualClient extends TargetClient {
+  readonly calls: OpenCall[] = [];
+
+  override call(call: TargetCall, sink: TargetAnswerSink): () => void {
+    const open = new OpenCall(call, sink);
+    this.calls.push(open);
+    return () => {
+      open.isAborted = true;
+    };
+  }
+
+  override createEventReader(): EventReader {
+    return new JsonEventReader();
+  }
+
+  /** The calls that were not aborted. */
+  get open(): OpenCall[] {
+    return this.calls.filter((one) => !one.isAborted);
+  }
+}
+
+/** Lets what was started run on, without moving time. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 5; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/** Moves time in small steps and lets what wakes run on. */
+export async function pass(clock: ManualClock, ms: number, stepMs = 10): Promise<void> {
+  for (let passed = 0; passed < ms; passed += stepMs) {
+    clock.advance(stepMs);
+    await settle();
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/weight-planner.test.ts
@@ -0,0 +1,81 @@
+import type { TargetId } from '@hibiscushill/base';
+import { describe, expect, it } from 'vitest';
+
+import type { ModelId } from '../src/serving-config';
+import { HomeWeights, type ModelState, type WeightView } from '../src/weight-planner';
+import { version } from './support';
+
+function engine(id: string, number: number, changes: Partial<WeightView> = {}): WeightView {
+  return {
+    engine: id as TargetId,
+    version: version(number),
+    isLoading: false,
+    running: 0,
+    ...changes,
+  };
+}
+
+function model(
+  name: string,
+  named: number,
+  engines: readonly WeightView[],
+  changes: Partial<ModelState> = {},
+): ModelState {
+  return {
+    model: name as ModelId,
+    named: version(named),
+    least: version(named - 1),
+    waiting: 0,
+    mayMix: true,
+    engines,
+    ...changes,
+  };
+}
+
+function plan(...models: ModelState[]): string[] {
+  return new HomeWeights()
+    .plan(models)
+    .map((one) => `${one.model}:${one.engine}->${one.version} ${one.mode}`);
+}
+
+describe('the plan of weight changes', () => {
+  it('loads engines that are too old for the next step at once, before the others', () => {
+    const engines = [engine('x', 3), engine('y', 2), engine('z', 3)];
+    expect(plan(model('a', 4, engines, { waiting: 5 }))).toEqual(['a:y->4 wait']);
+  });
+
+  it('loads the others only when no item waits and none runs there', () => {
+    const engines = [engine('x', 3), engine('y', 3, { running: 1 })];
+    expect(plan(model('a', 4, engines, { waiting: 1 }))).toEqual([]);
+    expect(plan(model('a', 4, engines))).toEqual(['a:x->4 wait']);
+  });
+
+  it('lets running streams go on under the new version unless they must not mix', () => {
+    const engines = [engine('x', 1, { running: 2 })];
+    expect(plan(model('a', 4, engines))).toEqual(['a:x->4 retain']);
+    expect(plan(model('a', 4, engines, { mayMix: false }))).toEqual(['a:x->4 wait']);
+  });
+
+  it('loads few engines at a time', () => {
+    const engines = ['u', 'v', 'w', 'x', 'y', 'z'].map((id) => engine(id, 1));
+    expect(plan(model('a', 4, engines))).toHaveLength(2);
+    const loading = engines.map((one) => ({ ...one, isLoading: one.engine < 'w' }));
+    expect(plan(model('a', 4, loading))).toEqual([]);
+  });
+
+  it('keeps each of several models to its share of the engines, where its weights are', () => {
+    const engines = ['u', 'v', 'w', 'x'];
+    const a = model(
+      'a',
+      2,
+      engines.map((id) => engine(id, id >= 'w' ? 2 : 1)),
+    );
+    const b = model(
+      'b',
+      3,
+      engines.map((id) => engine(id, 1)),
+      { least: version(2) },
+    );
+    expect(plan(a, b)).toEqual(['b:u->3 wait', 'b:v->3 wait']);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/window-counts.test.ts
@@ -0,0 +1,80 @@
+import {
+  type IncarnationId,
+  type Offset,
+  type RecordId,
+  type TeamId,
+  type WallTime,
+} from '@hibiscushill/base';
+import type { NewRecord } from '@hibiscushill/log';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { OwnCounts, WindowCounts, createClosed } from '../src/window-counts';
+import { TEAM } from './support';
+
+function apply(counts: WindowCounts, records: readonly NewRecord[]): void {
+  records.forEach(({ id, kind, payload }) => {
+    const copy = JSON.parse(JSON.stringify(payload)) as unknown;
+    counts.apply({
+      id: id as RecordId,
+      kind,
+      payload: copy,
+      offset: 0 as Offset,
+      appendedAt: 0 as WallTime,
+    });
+  });
+}
+
+describe('the counts of a window', () => {
+  it('are the sum over processes, each counted once however often it writes', () => {
+    const counts = new WindowCounts(5_000);
+    const [one, two] = [new OwnCounts('p1' as IncarnationId), new OwnCounts('p2' as IncarnationId)];
+    one.count(7, TEAM);
+    const first = one.take().records;
+    one.count(7, TEAM);
+    two.count(7, TEAM);
+    apply(counts, [...first, ...one.take().records, ...two.take().records, ...first]);
+    expect(counts.sum(7)).toEqual({ [TEAM]: 3 });
+  });
+
+  it('stand as the first close says, whatever comes later', () => {
+    const counts = new WindowCounts(5_000);
+    apply(counts, [createClosed(7, { [TEAM]: 3 }), createClosed(7, { [TEAM]: 4 })]);
+    expect(counts.closedOf(7)).toEqual({ [TEAM]: 3 });
+  });
+
+  it('are written again after a failed write', () => {
+    const own = new OwnCounts('p1' as IncarnationId);
+    own.count(7, TEAM);
+    const { windows } = own.take();
+    expect(own.take().records).toEqual([]);
+    own.restore(windows);
+    expect(own.take().records).toHaveLength(1);
+  });
+
+  it('do not depend on the order in which records arrive', () => {
+    const teams = ['a', 'b'] as TeamId[];
+    fc.assert(
+      fc.property(
+        fc.array(fc.constantFrom(...teams), { maxLength: 12 }),
+        fc.nat(),
+        (order, seed) => {
+          const own = new OwnCounts('p1' as IncarnationId);
+          const records = order.flatMap((team) => {
+            own.count(1, team);
+            return own.take().records;
+          });
+          const shuffled = records
+            .map((record, index) => ({ record, key: (index * 7919 + seed) % 13 }))
+            .sort((x, y) => x.key - y.key)
+            .map(({ record }) => record);
+          const [straight, mixed] = [new WindowCounts(1), new WindowCounts(1)];
+          apply(straight, records);
+          apply(mixed, shuffled);
+          expect(mixed.sum(1)).toEqual(straight.sum(1));
+        },
+      ),
+      { seed: 11, numRuns: 100 },
+    );
+  });
+});
--- a/packages/log/src/keyed-tail.ts
+++ b/packages/log/src/keyed-tail.ts
@@ -97,7 +97,8 @@
 
   async #run(): Promise<void> {
     while (!this.#stopping.signal.aborted) {
-      const failure = this.#next === undefined ? await this.#load() : await this.#follow(this.#next);
+      const failure =
+        this.#next === undefined ? await this.#load() : await this.#follow(this.#next);
       if (failure) await this.#recover(failure);
       else this.#noticeAnswer();
     }
@@ -135,7 +136,11 @@
     }
     if (!this.#isLost) {
       const proofAgeMs = Math.round(this.proofAgeMs);
-      this.#logger.warn('Lost the log.', { code: failure.code, detail: failure.detail, proofAgeMs });
+      this.#logger.warn('Lost the log.', {
+        code: failure.code,
+        detail: failure.detail,
+        proofAgeMs,
+      });
     }
     this.#isLost = true;
     await this.#options.clock.sleep(
