Place the longest items first, age measured speeds, move streams from slow or loading engines

Change: speeds are measured along the stream and age; a formerly slow engine gets one item as a trial; items start longest first, without the groups that the trainer can do without; streams move to engines with room before a load and away from slow engines, resumed at their last event.

--- a/packages/gateway/src/engines.ts
+++ b/packages/gateway/src/engines.ts
@@ -18,6 +18,7 @@
   /** Models whose weights are being changed, and until when that is believed. */
   readonly loading: Map<ModelId, MonoTime>;
   msPerEvent: Millis | undefined;
+  speedAt: MonoTime;
   /** Not used before this time, since it failed. */
   avoidUntil: MonoTime;
   failures: number;
@@ -25,6 +26,8 @@
 
 // The weight of the newest stream in an engine's usual speed.
 const SMOOTHING = 0.4;
+// A measured speed says little about the present after this.
+const SPEED_FRESH_MS = 1_500;
 // An engine that failed is left out for a time that doubles with each further failure.
 const FIRST_AVOID_MS = 250;
 const MOST_AVOID_MS = 2_000;
@@ -83,10 +86,16 @@
     return this.#read(engine).msPerEvent;
   }
 
+  /** Whether the speed was measured lately. */
+  isSpeedFresh(engine: TargetEntry): boolean {
+    return this.#clock.mono() - this.#read(engine).speedAt < SPEED_FRESH_MS;
+  }
+
   /** Takes the time between two events, measured over a part of a stream. */
   takeSpeed(engine: TargetEntry, msPerEvent: Millis): void {
     const record = this.#read(engine);
     record.failures = 0;
+    record.speedAt = this.#clock.mono();
     record.msPerEvent =
       record.msPerEvent === undefined
         ? msPerEvent
@@ -114,6 +123,7 @@
       versions: new Map(),
       loading: new Map(),
       msPerEvent: undefined,
+      speedAt: -Infinity as MonoTime,
       avoidUntil: -Infinity as MonoTime,
       failures: 0,
     };
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -26,8 +26,8 @@
 // pauses, and after at least this long.
 const SILENT_PAUSES = 8;
 const LEAST_SILENT_MS = 450;
-// The speed of a stream is read over at least this many events.
-const SPEED_EVENTS = 4;
+// The speed of a stream is read over so many events.
+const SPEED_EVENTS = 6;
 
 /** How a run ended. */
 export type RunOutcome =
@@ -75,7 +75,7 @@
 
   #heardAt: MonoTime;
 
-  #firstEventAt: MonoTime | undefined;
+  #measuredAt: MonoTime;
 
   #events = 0;
 
@@ -91,6 +91,7 @@
     this.#reader = options.client.createEventReader();
     this.#startedAt = options.clock.mono();
     this.#heardAt = this.#startedAt;
+    this.#measuredAt = this.#startedAt;
     this.#abort = options.client.call(options.call, this);
   }
 
@@ -102,12 +103,6 @@
     return silentMs > Math.max(LEAST_SILENT_MS, SILENT_PAUSES * usualMs);
   }
 
-  /** The time between two events of this stream; undefined while it is too short. */
-  get msPerEvent(): Millis | undefined {
-    if (this.#firstEventAt === undefined || this.#events < SPEED_EVENTS) return undefined;
-    return (this.#heardAt - this.#firstEventAt) / (this.#events - 1);
-  }
-
   /** Ends the stream. */
   cancel(): void {
     this.#end('cancelled');
@@ -154,7 +149,7 @@
 
   #takeEvent(event: Parameters<ItemTask['take']>[0]): void {
     this.#heardAt = this.#options.clock.mono();
-    this.#firstEventAt ??= this.#heardAt;
+    this.#measureSpeed();
     this.#events += 1;
     if (event.version !== undefined) {
       this.#version = event.version;
@@ -174,12 +169,19 @@
     this.#end('wrong-version', verdict);
   }
 
+  #measureSpeed(): void {
+    if (this.#events % SPEED_EVENTS !== 0) return;
+    if (this.#events > 0) {
+      const tookMs: Millis = this.#heardAt - this.#measuredAt;
+      this.#options.engines.takeSpeed(this.engine, tookMs / SPEED_EVENTS);
+    }
+    this.#measuredAt = this.#heardAt;
+  }
+
   #end(outcome: RunOutcome, reason?: string): void {
     if (this.#isOver) return;
     this.#isOver = true;
     const { clock, engines, logger, onEnd } = this.#options;
-    const { msPerEvent } = this;
-    if (msPerEvent !== undefined) engines.takeSpeed(this.engine, msPerEvent);
     if (outcome === 'broken' || outcome === 'silent') engines.takeFailure(this.engine);
     if (outcome !== 'complete') this.#abort();
     logger.info('A run ended.', {
@@ -188,6 +190,7 @@
       outcome,
       reason,
       events: this.#events,
+      expectedTokens: this.task.spec.expectedTokens,
       version: this.#version,
       tookMs: Math.round(clock.mono() - this.#startedAt),
     });
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -38,7 +38,7 @@
 import { HomeWeights } from './weight-planner';
 import { OwnCounts, WindowCounts } from './window-counts';
 import { createHandover } from './work-records';
-import { ShortGroupsFirst } from './work-queue';
+import { LongestFirst } from './work-queue';
 import { WorkRunner } from './work-runner';
 
 /** The duty whose holder runs submissions, changes weights, reports usage and starts targets. */
@@ -242,7 +242,7 @@
       }),
       writer: this.#writer,
       placement: new EvenPlacement(),
-      order: new ShortGroupsFirst(),
+      order: new LongestFirst(),
     });
     this.#weights = new WeightDuty({
       clock,
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -11,6 +11,8 @@
   readonly isLoading: boolean;
   /** The usual time between two events of a stream; undefined when unknown. */
   readonly msPerEvent: Millis | undefined;
+  /** Whether that was measured lately; an older figure may no longer hold. */
+  readonly isSpeedFresh: boolean;
 }
 
 /** An item that waits for an engine. */
@@ -45,8 +47,12 @@
   ): Placement<T>[];
 }
 
+type OpenEngine = { -readonly [K in keyof EngineView]: EngineView[K] };
+
 // An engine this many times slower than the fastest isn't used while others have room or will.
-const SLOW_FACTOR = 2;
+const SLOW_FACTOR = 1.7;
+// An engine that was slow some time ago gets so many items to show how fast it is now.
+const TRIAL_SLOTS = 1;
 // With more waiting items than this for each slot of the fast engines, slow ones help as well.
 const BACKLOG_PER_SLOT = 2;
 
@@ -62,8 +68,9 @@
     items: readonly T[],
     engines: readonly EngineView[],
   ): Placement<T>[] {
-    const open = new Map(engines.map((engine) => [engine.id, { ...engine }]));
-    const usable = this.#listFast(items.length, [...open.values()]);
+    const fastest = findFastest(engines);
+    const views = engines.map((engine) => withTrial({ ...engine }, fastest));
+    const usable = listFast(items.length, views, fastest);
     const placements: Placement<T>[] = [];
     items.forEach((item) => {
       const engine = this.#choose(item, usable);
@@ -80,7 +87,7 @@
     this.#homes.delete(group);
   }
 
-  #choose<E extends EngineView>(item: WaitingItem, engines: readonly E[]): E | undefined {
+  #choose(item: WaitingItem, engines: readonly OpenEngine[]): OpenEngine | undefined {
     const fits = engines.filter((engine) => isFit(item, engine));
     const willing = fits.filter((engine) => !item.avoid.has(engine.id));
     const candidates = willing.length > 0 ? willing : fits;
@@ -89,16 +96,36 @@
     if (near) return near;
     return [...candidates].sort((a, b) => fill(a) - fill(b))[0];
   }
+}
 
-  #listFast<E extends EngineView>(waiting: number, engines: readonly E[]): E[] {
-    const speeds = engines.flatMap(({ msPerEvent }) => (msPerEvent ? [msPerEvent] : []));
-    const fastest = Math.min(...speeds);
-    const isFast = ({ msPerEvent }: E): boolean =>
-      msPerEvent === undefined || msPerEvent <= SLOW_FACTOR * fastest;
-    const fast = engines.filter(isFast);
-    const slots = fast.reduce((sum, engine) => sum + engine.slots, 0);
-    return waiting > BACKLOG_PER_SLOT * slots ? [...engines] : fast;
-  }
+/**
+ * Tells whether an engine is known to be slow at present.
+ *
+ * @param engine - the engine
+ * @param fastest - the time between two events at the fastest engine
+ */
+export function isSlow({ msPerEvent }: EngineView, fastest: Millis): boolean {
+  return msPerEvent !== undefined && msPerEvent > SLOW_FACTOR * fastest;
+}
+
+/** The time between two events at the engine that was fastest lately; infinite if none is known. */
+export function findFastest(engines: readonly EngineView[]): Millis {
+  const fresh = engines.filter((engine) => engine.isSpeedFresh);
+  const known = fresh.length > 0 ? fresh : engines;
+  return Math.min(...known.map((engine) => engine.msPerEvent ?? Infinity));
+}
+
+function withTrial(engine: EngineView, fastest: Millis): OpenEngine {
+  const isTrial = isSlow(engine, fastest) && !engine.isSpeedFresh;
+  const slots = isTrial ? Math.min(engine.slots, TRIAL_SLOTS) : engine.slots;
+  const isKnown = engine.msPerEvent !== undefined && !isTrial;
+  return { ...engine, slots, msPerEvent: isKnown ? engine.msPerEvent : fastest };
+}
+
+function listFast(waiting: number, engines: readonly OpenEngine[], fastest: Millis): OpenEngine[] {
+  const fast = engines.filter((engine) => !isSlow(engine, fastest));
+  const slots = fast.reduce((sum, engine) => sum + engine.slots, 0);
+  return waiting > BACKLOG_PER_SLOT * slots ? [...engines] : fast;
 }
 
 function isFit(item: WaitingItem, engine: EngineView): boolean {
@@ -107,6 +134,6 @@
   return engine.version >= item.leastVersion;
 }
 
-function fill({ running, slots, msPerEvent }: EngineView): number {
-  return ((running + 1) / slots) * (msPerEvent ?? 1);
+function fill({ running, slots, msPerEvent = 1 }: EngineView): number {
+  return ((running + 1) / slots) * (Number.isFinite(msPerEvent) ? msPerEvent : 1);
 }
--- a/packages/gateway/src/weight-duty.ts
+++ b/packages/gateway/src/weight-duty.ts
@@ -17,7 +17,7 @@
 import type { ModelId, ServingService } from './serving-config';
 import type { SubmissionBook } from './submission';
 import type { ModelState, WeightChange, WeightPlanner } from './weight-planner';
-import type { WorkRunner } from './work-runner';
+import type { EngineWork, WorkRunner } from './work-runner';
 
 // A change of weights takes about a second, more while many engines load.
 const FIRST_LOOK_MS = 850;
@@ -79,7 +79,7 @@
         version: engines.versionOf(engine, model),
         isLoading:
           engines.isLoading(engine, model) || this.#changing.has(changeKey(engine.id, model)),
-        running: runner.workAt(engine.id, model).runningOfModel,
+        ...readWork(runner.workAt(engine, model)),
       })),
     };
   }
@@ -102,7 +102,7 @@
   }
 
   async #change(engine: TargetEntry, change: WeightChange): Promise<void> {
-    const { clock, engines, control, logger, metrics } = this.#options;
+    const { clock, engines, control, runner, logger, metrics } = this.#options;
     const report = await control.report(engine);
     if (report.isErr() || report.value.isBusy) {
       await clock.sleep(PAUSE_MS);
@@ -112,6 +112,7 @@
     this.#learn(engine, report.value.versions);
     if ((report.value.versions.get(model) ?? 0) >= version) return;
     engines.startLoading(engine, model, LOADING_MS);
+    if (change.movesStreams) runner.moveAway(engine.id, model);
     const verdict = await this.#send(engine, { model, version, mode, after: report.value.orders });
     metrics.count(`weights.order.${verdict}`);
     logger.info('Ordered a weight version.', { target: engine.id, model, version, mode, verdict });
@@ -154,6 +155,10 @@
   }
 }
 
+function readWork({ runningOfModel, canMove }: EngineWork): { running: number; canMove: boolean } {
+  return { running: runningOfModel, canMove };
+}
+
 function changeKey(engine: TargetId, model: ModelId): string {
   return `${engine} ${model}`;
 }
--- a/packages/gateway/src/weight-planner.ts
+++ b/packages/gateway/src/weight-planner.ts
@@ -13,6 +13,8 @@
   readonly isLoading: boolean;
   /** Streams of the model that run there. */
   readonly running: number;
+  /** Whether other engines have room for these streams. */
+  readonly canMove: boolean;
 }
 
 /** A model, the version that it should have, and its engines. */
@@ -34,6 +36,8 @@
   readonly model: ModelId;
   readonly version: WeightVersion;
   readonly mode: ChangeMode;
+  /** Whether the streams that run there are moved to other engines first. */
+  readonly movesStreams: boolean;
 }
 
 /** Decides about weights. */
@@ -56,8 +60,9 @@
 /**
  * Answers several trainers that each name a version every few seconds, where only as many loads
  * are free as one trainer's share of the engines: each model keeps to its share of the engines,
- * those that already have its newest weights; engines that are too old for the next step load at
- * once, the others when no item waits.
+ * those that already have its newest weights. Engines that are too old for the next step load at
+ * once, the others when no item waits; running streams are moved to engines with room, or else go
+ * on under the new weights.
  */
 export class HomeWeights extends WeightPlanner {
   override plan(models: readonly ModelState[]): WeightChange[] {
@@ -79,14 +84,15 @@
     return homes
       .filter((home) => home.version < model.named && !home.isLoading)
       .map((home) => ({ home, isUrgent: home.version < model.least }))
-      .filter(({ home, isUrgent }) => isUrgent || (model.waiting === 0 && home.running === 0))
+      .filter(({ home, isUrgent }) => isUrgent || (model.waiting === 0 && isFree(home)))
       .map(({ home, isUrgent }) => ({
         isUrgent,
         change: {
           engine: home.engine,
           model: model.model,
           version: model.named,
-          mode: home.running > 0 && model.mayMix ? 'retain' : 'wait',
+          mode: !isFree(home) && model.mayMix ? 'retain' : 'wait',
+          movesStreams: home.running > 0 && home.canMove,
         },
       }));
   }
@@ -99,6 +105,10 @@
   }
 }
 
+function isFree({ running, canMove }: WeightView): boolean {
+  return running === 0 || canMove;
+}
+
 /** Picks a model's engines: those with its newest weights, then those with the fewest models. */
 function pickHomes(
   { engines }: ModelState,
--- a/packages/gateway/src/work-queue.ts
+++ b/packages/gateway/src/work-queue.ts
@@ -6,9 +6,9 @@
 interface Rank {
   readonly task: ItemTask;
   readonly isBegun: boolean;
+  readonly isSpare: boolean;
   readonly dueAt: number;
   readonly isCarried: boolean;
-  readonly groupTokens: number;
   readonly tokens: number;
 }
 
@@ -27,26 +27,32 @@
 }
 
 /**
- * Answers steps of many groups of which the trainer waits for most but not all, with streams of
- * unlike length: begun texts first, then the step that is due first, groups that the trainer waits
- * for by name, groups that are expected to be short, and the longest item of a group.
+ * Answers steps whose trainer waits for most of their groups but not all, with streams of very
+ * unlike length, of which the longest decide when the step is whole: begun texts first, then the
+ * step that is due first, and in it the longest items; the groups that the trainer can do without
+ * are those that are expected to take longest, and come after all others.
  */
-export class ShortGroupsFirst extends WorkOrder {
-  readonly #groupTokens = new Map<string, number>();
+export class LongestFirst extends WorkOrder {
+  readonly #spare = new Set<string>();
 
   readonly #carried = new Set<string>();
 
   readonly #seen = new Set<string>();
 
   override note(submission: Submission): void {
-    const own = new Set<string>();
-    [...submission.items].forEach((item) => {
-      const key = groupKey(submission, item.group);
-      const tokens = Math.max(this.#groupTokens.get(key) ?? 0, item.expectedTokens ?? 0);
-      this.#groupTokens.set(key, tokens);
-      if (this.#seen.has(item.group)) this.#carried.add(key);
-      own.add(item.group);
+    const tokens = new Map<string, number>();
+    [...submission.items].forEach(({ group, expectedTokens = 0 }) => {
+      tokens.set(group, Math.max(tokens.get(group) ?? 0, expectedTokens));
     });
+    const isCarried = (group: string): boolean => this.#seen.has(group);
+    const own = [...tokens.keys()];
+    const wanted = submission.terms.wantedGroups ?? own.length;
+    own
+      .filter((group) => !isCarried(group))
+      .sort((a, b) => (tokens.get(b) ?? 0) - (tokens.get(a) ?? 0))
+      .slice(0, Math.max(0, own.length - wanted))
+      .forEach((group) => this.#spare.add(groupKey(submission, group)));
+    own.filter(isCarried).forEach((group) => this.#carried.add(groupKey(submission, group)));
     own.forEach((group) => this.#seen.add(group));
   }
 
@@ -63,9 +69,9 @@
     return {
       task,
       isBegun: task.isBegun,
+      isSpare: this.#spare.has(key),
       dueAt: terms.submittedAt + terms.dueMs,
       isCarried: this.#carried.has(key),
-      groupTokens: this.#groupTokens.get(key) ?? 0,
       tokens: task.spec.expectedTokens ?? 0,
     };
   }
@@ -78,9 +84,9 @@
 function compare(a: Rank, b: Rank): number {
   return (
     Number(b.isBegun) - Number(a.isBegun) ||
+    Number(a.isSpare) - Number(b.isSpare) ||
     a.dueAt - b.dueAt ||
     Number(b.isCarried) - Number(a.isCarried) ||
-    a.groupTokens - b.groupTokens ||
     b.tokens - a.tokens
   );
 }
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -15,7 +15,7 @@
 import type { Engines } from './engines';
 import { ItemRun, type RunOutcome } from './item-run';
 import { ItemTask, type ItemText } from './item-task';
-import type { EngineView, PlacementPolicy } from './placement';
+import { type EngineView, type PlacementPolicy, findFastest, isSlow } from './placement';
 import type { ResultWriter } from './result-writer';
 import type { RewardCaller } from './reward-caller';
 import type { ModelId, ServingRoute } from './serving-config';
@@ -50,8 +50,9 @@
 
 /** The work at an engine, for those who decide about its weights. */
 export interface EngineWork {
-  readonly running: number;
   readonly runningOfModel: number;
+  /** Whether other engines have room for these streams. */
+  readonly canMove: boolean;
 }
 
 /** Places waiting items, follows their streams and writes their results. */
@@ -96,11 +97,22 @@
     return this.#tasks.size;
   }
 
-  /** Counts the streams at an engine. */
-  workAt(engine: TargetId, model: ModelId): EngineWork {
-    const runs = [...(this.#runs.get(engine) ?? [])];
-    const ofModel = runs.filter((run) => run.model === model);
-    return { running: runs.length, runningOfModel: ofModel.length };
+  /** Counts a model's streams at an engine. */
+  workAt(engine: TargetEntry, model: ModelId): EngineWork {
+    const runs = this.#runsOf(engine.id, model);
+    const least = Math.max(1, ...runs.map((run) => run.task.leastVersion));
+    const room = this.#options.engines
+      .list(engine.service)
+      .filter((other) => other.id !== engine.id && !this.#options.engines.isAvoided(other))
+      .map((other) => this.#view(other, model))
+      .filter((view) => !view.isLoading && view.version >= least)
+      .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
+    return { runningOfModel: runs.length, canMove: runs.length <= room };
+  }
+
+  /** Moves a model's streams from an engine to others; they go on where they stopped. */
+  moveAway(engine: TargetId, model: ModelId): void {
+    this.#runsOf(engine, model).forEach((run) => run.cancel());
   }
 
   /** Starts to run all open items. */
@@ -221,9 +233,37 @@
   #tick(): void {
     const runs = [...this.#runs.values()].flatMap((set) => [...set]);
     runs.filter((run) => run.isSilent).forEach((run) => run.abandon());
+    if (this.#waiting.size === 0) this.#moveFromSlow(runs);
     if (this.#waiting.size > 0) this.schedule();
   }
 
+  /** Moves streams from slow engines to fast ones with room. */
+  #moveFromSlow(runs: readonly ItemRun[]): void {
+    const models = new Set(runs.map((run) => run.model));
+    models.forEach((model) => {
+      const ofModel = runs.filter((run) => run.model === model);
+      const views = this.#listEngines(ofModel[0]?.task).map((engine) => this.#view(engine, model));
+      const fastest = findFastest(views);
+      const slow = new Set(
+        views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh).map((view) => view.id),
+      );
+      let room = views
+        .filter((view) => !slow.has(view.id) && !view.isLoading)
+        .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
+      ofModel
+        .filter((run) => slow.has(run.engine.id))
+        .forEach((run) => {
+          if (room <= 0) return;
+          room -= 1;
+          run.cancel();
+        });
+    });
+  }
+
+  #runsOf(engine: TargetId, model: ModelId): ItemRun[] {
+    return [...(this.#runs.get(engine) ?? [])].filter((run) => run.model === model);
+  }
+
   #place(): void {
     if (!this.#isActive || this.#isDraining || this.#waiting.size === 0) return;
     const now = this.#options.clock.mono();
@@ -267,6 +307,7 @@
       version: engines.versionOf(engine, model),
       isLoading: engines.isLoading(engine, model),
       msPerEvent: engines.msPerEvent(engine),
+      isSpeedFresh: engines.isSpeedFresh(engine),
     };
   }
 
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -12,6 +12,7 @@
     version: version(3),
     isLoading: false,
     msPerEvent: 35,
+    isSpeedFresh: true,
     ...changes,
   };
 }
@@ -68,6 +69,12 @@
     expect(place(items, engines)).toEqual(['g0@slow', 'g1@slow']);
   });
 
+  it('tries an engine that was slow some time ago with one item', () => {
+    const stale = engine('was-slow', { msPerEvent: 140, isSpeedFresh: false });
+    const items = ['a', 'b', 'c', 'd'].map((group) => item(group));
+    expect(place(items, [engine('x'), stale])).toEqual(['a@x', 'b@x', 'c@was-slow']);
+  });
+
   it('avoids an engine that failed the item, unless it is the only one', () => {
     const avoid = new Set(['x' as TargetId]);
     expect(place([item('a', { avoid })], [engine('x'), engine('y')])).toEqual(['a@y']);
--- a/packages/gateway/test/submission.test.ts
+++ b/packages/gateway/test/submission.test.ts
@@ -15,7 +15,7 @@
     // What a reader gets has been through JSON.
     const { id, kind, payload } = JSON.parse(JSON.stringify(record)) as NewRecord;
     const read: LogRecord = {
-      id: id as RecordId,
+      id,
       kind,
       payload,
       offset: index as Offset,
--- a/packages/gateway/test/weight-planner.test.ts
+++ b/packages/gateway/test/weight-planner.test.ts
@@ -11,6 +11,7 @@
     version: version(number),
     isLoading: false,
     running: 0,
+    canMove: false,
     ...changes,
   };
 }
@@ -50,6 +51,12 @@
     expect(plan(model('a', 4, engines))).toEqual(['a:x->4 wait']);
   });
 
+  it('moves running streams away where other engines have room for them', () => {
+    const engines = [engine('x', 3, { running: 2, canMove: true })];
+    const [change] = new HomeWeights().plan([model('a', 4, engines)]);
+    expect(change).toMatchObject({ engine: 'x', mode: 'wait', movesStreams: true });
+  });
+
   it('lets running streams go on under the new version unless they must not mix', () => {
     const engines = [engine('x', 1, { running: 2 })];
     expect(plan(model('a', 4, engines))).toEqual(['a:x->4 retain']);
--- a/packages/gateway/test/window-counts.test.ts
+++ b/packages/gateway/test/window-counts.test.ts
@@ -16,7 +16,7 @@
   records.forEach(({ id, kind, payload }) => {
     const copy = JSON.parse(JSON.stringify(payload)) as unknown;
     counts.apply({
-      id: id as RecordId,
+      id,
       kind,
       payload: copy,
       offset: 0 as Offset,
