--- a/packages/base/test/suspend-clock.test.ts
+++ b/packages/base/test/suspend-clock.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { Clock, type MonoTime, SuspendAwareClock, type WallTime } from "../src";
+import { Clock, type MonoTime, SuspendAwareClock, type WallTime } from '../src';
 
 class TwoClocks extends Clock {
   steady = 100;
--- a/packages/control/src/duty/keeper-options.ts
+++ b/packages/control/src/duty/keeper-options.ts
@@ -6,6 +6,7 @@
   Metrics,
   Millis,
   RandomSource,
+  WallTime,
 } from '@hibiscushill/base';
 import type { Log, LogTail, StreamName } from '@hibiscushill/log';
 
@@ -41,6 +42,10 @@
   readonly rankStepMs?: Millis;
   /** The instances that may claim the duty; an empty list spreads claims at random. */
   readonly candidates?: () => readonly InstanceId[];
+  /** Tells whether an incarnation is known to have ended, so that its lease needs no waiting. */
+  readonly isEnded?: (incarnation: IncarnationId) => boolean;
+  /** Before when this process may not claim, so that a duty doesn't return to it too soon. */
+  readonly notBefore?: () => WallTime;
   readonly random?: RandomSource;
   readonly metrics?: Metrics;
 }
--- a/packages/control/src/duty/keeper.ts
+++ b/packages/control/src/duty/keeper.ts
@@ -119,6 +119,11 @@
     return () => this.#releasing.delete(settle);
   }
 
+  /** Looks again whether the duty may be claimed, since something it depends on has changed. */
+  reconsider(): void {
+    if (!this.#lease) this.#changed.abort();
+  }
+
   /** Starts to claim the duty. */
   start(): void {
     this.#unsubscribe ??= this.#options.tail.subscribe((record) => this.#reader.take(record));
@@ -204,10 +209,18 @@
   /** When this process may claim, by what it has read. */
   #claimableAt(): MonoTime {
     const now = this.#clock.mono();
+    const { notBefore } = this.#options;
+    const turnMs = notBefore ? notBefore() - this.#clock.wall() : 0;
+    return Math.max(this.#vacantAt(now), now + turnMs) as MonoTime;
+  }
+
+  #vacantAt(now: MonoTime): MonoTime {
     const { present } = this.#history;
     if (present?.claim === NO_CLAIM || present?.isReleased) return now;
-    const isMine = present?.incarnation === this.#options.incarnation;
+    const incarnation = present?.incarnation;
+    const isMine = incarnation === this.#options.incarnation;
     if (isMine && this.#hadLease) return now;
+    if (incarnation !== undefined && this.#options.isEnded?.(incarnation)) return now;
     return ((this.#heardAt ?? now) + this.#times.patienceMs) as MonoTime;
   }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,6 +7,8 @@
 
 export { Lease } from './duty/lease';
 
+export { DutyTurns } from './duty/turns';
+
 export { TailClaims } from './duty/tail-claims';
 
 export { FoldReader } from './duty/reading';
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -14,7 +14,7 @@
   type ZoneId,
   createLogger,
 } from '@hibiscushill/base';
-import { DutyKeeper, FencedSender } from '@hibiscushill/control';
+import { DutyKeeper, DutyTurns, FencedSender } from '@hibiscushill/control';
 import { type KeyedLog, KeyedTail, type KeyedReader, type Log, LogTail } from '@hibiscushill/log';
 import { isSome } from 'fp-ts/Option';
 
@@ -23,6 +23,7 @@
 import { TargetDirectory } from './directory';
 import { Engines } from './engines';
 import { Gateway } from './gateway';
+import { Peers, createStarted } from './peers';
 import { EvenPlacement } from './placement';
 import { type ForwardRequest, RequestForwarder } from './request-forwarder';
 import { ResultWriter } from './result-writer';
@@ -63,6 +64,8 @@
   readonly instance: InstanceId;
   readonly incarnation: IncarnationId;
   readonly zone: ZoneId;
+  /** Where this process passes calls of others on to the log, `IP:port`. */
+  readonly relay: string;
   readonly bounds: NodeBounds;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -80,12 +83,12 @@
   readonly scaleSink: ScaleSink;
 }
 
-// A lease and the longest order under it end before a successor's patience does; both together
-// stay above the shortest time in which a duty may change hands and back.
-const LEASE_MS = 2_300;
-const ORDER_DEADLINE_MS = 500;
-const DRIFT_MS = 200;
-const RENEW_MS = 500;
+// Short, so that items wait little for a successor; long enough for a renewal to be written to a
+// slow log, a quarter of a second a call, and read back.
+const LEASE_MS = 1_300;
+const ORDER_DEADLINE_MS = 400;
+const DRIFT_MS = 100;
+const RENEW_MS = 250;
 const RANK_STEP_MS = 40;
 const CONTROL_TICK_MS = 100;
 // Reads of the log wait this long for a record.
@@ -98,6 +101,9 @@
 const DRAIN_GRACE_SHARE = 0.6;
 const HANDOVER_TIMEOUT_MS = 500;
 const FORGET_MS = 5_000;
+const ANNOUNCE_RETRY_MS = 500;
+// Beyond the bound on a duty's return, for clocks that differ.
+const TURN_MARGIN_MS = 300;
 // Before the first configuration was read; every request is then refused anyway.
 const FIRST_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
@@ -130,6 +136,10 @@
 
   readonly #workTail: LogTail;
 
+  readonly #peers: Peers;
+
+  readonly #turns: DutyTurns;
+
   readonly #keeper: DutyKeeper;
 
   readonly #runner: WorkRunner;
@@ -168,7 +178,13 @@
     const tail = { log, clock, random, metrics, waitMs: TAIL_WAIT_MS, timeoutMs: TAIL_TIMEOUT_MS };
     this.#dutyTail = new LogTail({ ...tail, stream: 'usage' });
     this.#workTail = new LogTail({ ...tail, stream: 'work' });
+    this.#peers = new Peers(options.instance);
+    this.#turns = new DutyTurns(CONTROL_DUTY, bounds.dutyTurnMs + TURN_MARGIN_MS);
+    this.#dutyTail.subscribe((record) => this.#turns.apply(record));
     this.#keeper = this.#createKeeper();
+    this.#dutyTail.subscribe((record) => {
+      if (this.#peers.apply(record)) this.#keeper.reconsider();
+    });
     const sender = new FencedSender({
       keeper: this.#keeper,
       deadlineMs: ORDER_DEADLINE_MS,
@@ -259,6 +275,16 @@
     });
   }
 
+  /** Where other processes pass calls on to the log, `IP:port`. */
+  get relays(): readonly string[] {
+    return this.#peers.relays;
+  }
+
+  /** How old the newest proof is that the log was read to its end, in milliseconds. */
+  get proofAgeMs(): Millis {
+    return this.#configTail.proofAgeMs;
+  }
+
   /** What callers may send, by the configuration in force. */
   get limits(): CallerLimits {
     return this.#config.view?.limits ?? FIRST_LIMITS;
@@ -275,6 +301,7 @@
     this.#workTail.start();
     this.#keeper.onGained(() => this.#usage.restart());
     this.#keeper.start();
+    void this.#announce();
     this.#timers = [
       setInterval(() => this.#tick(), CONTROL_TICK_MS),
       setInterval(() => this.#forget(), FORGET_MS),
@@ -332,11 +359,24 @@
       driftMs: DRIFT_MS,
       renewMs: RENEW_MS,
       rankStepMs: RANK_STEP_MS,
+      isEnded: (other) => this.#peers.isEnded(other),
+      notBefore: () => this.#turns.notBefore(instance),
       random,
       metrics,
     });
   }
 
+  /** Tells the others where this process is, and that its predecessor has ended. */
+  async #announce(): Promise<void> {
+    const { clock, log, instance, incarnation, relay } = this.#options;
+    const record = createStarted({ instance, incarnation, relay });
+    while (!this.#isStopping) {
+      const done = await log.append('usage', [record], { timeoutMs: ANNOUNCE_RETRY_MS });
+      if (done.isOk()) return;
+      await clock.sleep(ANNOUNCE_RETRY_MS);
+    }
+  }
+
   #tick(): void {
     const now = this.#options.clock.mono();
     if (this.#targetTail.proofAgeMs > STALE_LIST_MS) this.#lastOutageAt = now;
--- a/packages/gateway/src/weight-duty.ts
+++ b/packages/gateway/src/weight-duty.ts
@@ -20,8 +20,8 @@
 import type { EngineWork, WorkRunner } from './work-runner';
 
 // A change of weights takes about a second, more while many engines load.
-const FIRST_LOOK_MS = 850;
-const LOOK_MS = 200;
+const FIRST_LOOK_MS = 920;
+const LOOK_MS = 80;
 // An order that isn't seen to be carried out by then is given again; a load on a slow engine or
 // behind running streams may take this long.
 const LOADING_MS = 6_000;
--- a/packages/gateway/test/submission.test.ts
+++ b/packages/gateway/test/submission.test.ts
@@ -1,4 +1,4 @@
-import type { Offset, RecordId, WallTime } from '@hibiscushill/base';
+import type { Offset, WallTime } from '@hibiscushill/base';
 import type { LogRecord, NewRecord } from '@hibiscushill/log';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
--- a/packages/gateway/test/window-counts.test.ts
+++ b/packages/gateway/test/window-counts.test.ts
@@ -1,10 +1,4 @@
-import {
-  type IncarnationId,
-  type Offset,
-  type RecordId,
-  type TeamId,
-  type WallTime,
-} from '@hibiscushill/base';
+import { type IncarnationId, type Offset, type TeamId, type WallTime } from '@hibiscushill/base';
 import type { NewRecord } from '@hibiscushill/log';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
--- /dev/null
+++ b/packages/log/src/detour-client.ts
@@ -0,0 +1,99 @@
+/** Calls to the log that go through a peer while the direct way fails. */
+import {
+  type Clock,
+  type Failure,
+  type Metrics,
+  type MonoTime,
+  createLogger,
+} from '@hibiscushill/base';
+import { type Result, ResultAsync } from 'neverthrow';
+
+import { type HttpAnswer, HttpCaller, type HttpCall, classifyRefusal } from './http-client';
+
+// How long the direct way isn't tried after it failed; longer each time that it fails again.
+const FIRST_DETOUR_MS = 1_000;
+const MOST_DETOUR_MS = 4_000;
+// Peers that are tried for one call.
+const PEER_TRIES = 2;
+
+/** The ways to the log. */
+export interface DetourOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly direct: HttpCaller;
+  /** The peers that may reach the log, the one to try first in front. */
+  readonly peers: () => readonly HttpCaller[];
+}
+
+/**
+ * Sends each call straight to the log, or through a peer while the log turns this process away.
+ * Only for calls that may be sent twice.
+ */
+export class DetourClient extends HttpCaller {
+  readonly #options: DetourOptions;
+
+  readonly #logger = createLogger('log.detour');
+
+  #detourUntil = -Infinity as MonoTime;
+
+  #isDetour = false;
+
+  #detourMs: Millis = FIRST_DETOUR_MS;
+
+  /** @param options - the ways to the log */
+  constructor(options: DetourOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override send(call: HttpCall): ResultAsync<HttpAnswer, Failure> {
+    return new ResultAsync(this.#send(call));
+  }
+
+  async #send(call: HttpCall): Promise<Result<HttpAnswer, Failure>> {
+    const { clock, direct, peers } = this.#options;
+    let result: Result<HttpAnswer, Failure> | undefined;
+    if (clock.mono() >= this.#detourUntil) {
+      result = await direct.send(call);
+      if (isAnswered(result) || call.signal?.aborted) {
+        this.#note(false);
+        return result;
+      }
+    }
+    for (const peer of peers().slice(0, PEER_TRIES)) {
+      const relayed = await peer.send(call);
+      if (isAnswered(relayed)) {
+        if (result) this.#startDetour();
+        this.#note(true);
+        return relayed;
+      }
+      if (call.signal?.aborted) return relayed;
+    }
+    if (result) return result;
+    // No peer reaches the log either: the direct way is tried again at once.
+    this.#detourUntil = -Infinity as MonoTime;
+    return direct.send(call);
+  }
+
+  /** Whether the last call went through a peer. */
+  get isDetour(): boolean {
+    return this.#isDetour;
+  }
+
+  #startDetour(): void {
+    this.#detourUntil = (this.#options.clock.mono() + this.#detourMs) as MonoTime;
+    this.#detourMs = Math.min(MOST_DETOUR_MS, this.#detourMs * 2);
+  }
+
+  #note(isDetour: boolean): void {
+    if (!isDetour) this.#detourMs = FIRST_DETOUR_MS;
+    if (isDetour) this.#options.metrics.count('log.detour');
+    if (isDetour === this.#isDetour) return;
+    this.#isDetour = isDetour;
+    this.#logger.info(isDetour ? 'Reaches the log through a peer.' : 'Reaches the log directly.');
+  }
+}
+
+function isAnswered(result: Result<HttpAnswer, Failure>): boolean {
+  return result.isOk() && classifyRefusal(result.value).code !== 'platform_down';
+}
--- a/packages/log/src/http-client.ts
+++ b/packages/log/src/http-client.ts
@@ -44,8 +44,19 @@
   readonly body: Uint8Array;
 }
 
+/** Sends calls. */
+export abstract class HttpCaller {
+  /**
+   * Sends a call. No answer by the deadline is a `platform_down`.
+   *
+   * @param call - the call
+   * @returns the answer, whatever its status
+   */
+  abstract send(call: HttpCall): ResultAsync<HttpAnswer, Failure>;
+}
+
 /** A pool of connections to one platform service. */
-export class HttpClient {
+export class HttpClient extends HttpCaller {
   readonly #options: HttpClientOptions;
 
   readonly #prefix: string;
@@ -54,18 +65,13 @@
 
   /** @param options - the base URL, deadlines in milliseconds, and the most connections */
   constructor(options: HttpClientOptions) {
+    super();
     this.#options = options;
     this.#prefix = new URL(options.url).pathname.replace(/\/$/, '');
     this.#pool = this.#createPool();
   }
 
-  /**
-   * Sends a call. No answer by the deadline is a `platform_down`.
-   *
-   * @param call - the call
-   * @returns the answer, whatever its status
-   */
-  send(call: HttpCall): ResultAsync<HttpAnswer, Failure> {
+  override send(call: HttpCall): ResultAsync<HttpAnswer, Failure> {
     return new ResultAsync(this.#send(call));
   }
 
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -23,9 +23,14 @@
 export { GuardedSender } from './guarded-sender';
 export type { GuardedCall } from './guarded-sender';
 
+export { DetourClient } from './detour-client';
+export type { DetourOptions } from './detour-client';
+
+export { LogRelay } from './relay';
+
 export { HttpLog } from './http-log';
 export type { HttpLogOptions } from './http-log';
-export { HttpClient, classifyRefusal, readAnswer } from './http-client';
+export { HttpCaller, HttpClient, classifyRefusal, readAnswer } from './http-client';
 export type { HttpAnswer, HttpCall, HttpClientOptions } from './http-client';
 
 export { MemoryLog } from './memory-log';
