--- a/packages/log/src/detour-client.ts
+++ b/packages/log/src/detour-client.ts
@@ -3,6 +3,7 @@
   type Clock,
   type Failure,
   type Metrics,
+  type Millis,
   type MonoTime,
   createLogger,
 } from '@hibiscushill/base';
