Keep texts on a stream of their own, run nothing before the log was read, judge engines by their failures

Change: the holder starts once it has read everything that stood when it gained the duty; items and outputs stand on a stream that only their readers read; an engine that fails is left out for longer and an item fails for good only at several engines; peers are picked at random, the last that helped first.

--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -110,6 +110,7 @@
 export interface ItemResult {
   readonly item: ItemId;
   readonly state: 'complete' | 'dead';
+  /** The data of all events, separated by line feeds. */
   readonly output: string;
   /** All weight versions that made an event of the output. */
   readonly versions: readonly WeightVersion[];
--- a/packages/gateway/src/engines.ts
+++ b/packages/gateway/src/engines.ts
@@ -30,7 +30,7 @@
 const SPEED_FRESH_MS = 1_500;
 // An engine that failed is left out for a time that doubles with each further failure.
 const FIRST_AVOID_MS = 250;
-const MOST_AVOID_MS = 2_000;
+const MOST_AVOID_MS = 4_000;
 
 /** Keeps versions, speeds and failures of engines across their entries in the directory. */
 export class Engines {
@@ -94,7 +94,6 @@
   /** Takes the time between two events, measured over a part of a stream. */
   takeSpeed(engine: TargetEntry, msPerEvent: Millis): void {
     const record = this.#read(engine);
-    record.failures = 0;
     record.speedAt = this.#clock.mono();
     record.msPerEvent =
       record.msPerEvent === undefined
@@ -102,6 +101,11 @@
         : record.msPerEvent + (msPerEvent - record.msPerEvent) * SMOOTHING;
   }
 
+  /** Notes a stream that came to its end. */
+  takeSuccess(engine: TargetEntry): void {
+    this.#read(engine).failures = 0;
+  }
+
   /** Notes a stream that broke off or kept silent. */
   takeFailure(engine: TargetEntry): void {
     const record = this.#read(engine);
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -40,6 +40,8 @@
   | 'silent'
   | 'cancelled';
 
+const FAILURES: ReadonlySet<RunOutcome> = new Set<RunOutcome>(['broken', 'silent', 'server-error']);
+
 /** What a run needs. */
 export interface ItemRunOptions {
   readonly clock: Clock;
@@ -182,7 +184,8 @@
     if (this.#isOver) return;
     this.#isOver = true;
     const { clock, engines, logger, onEnd } = this.#options;
-    if (outcome === 'broken' || outcome === 'silent') engines.takeFailure(this.engine);
+    if (FAILURES.has(outcome)) engines.takeFailure(this.engine);
+    if (outcome === 'complete') engines.takeSuccess(this.engine);
     if (outcome !== 'complete') this.#abort();
     logger.info('A run ended.', {
       id: describeItem(this.task.submission.terms.id, this.task.spec.id),
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -14,6 +14,9 @@
   readonly versions: readonly WeightVersion[];
 }
 
+// One engine that fails everything says nothing about an item.
+const HOPELESS_ENGINES = 3;
+
 /** What an event meant for a text. */
 export type EventVerdict = 'taken' | 'repeated' | 'gap' | 'too-old' | 'mixed';
 
@@ -28,6 +31,8 @@
   /** Engines that broke off or kept silent on this item. */
   readonly avoid = new Set<TargetId>();
 
+  readonly #failedAt = new Set<TargetId>();
+
   #serverErrors = 0;
 
   #rewardErrors = 0;
@@ -53,11 +58,6 @@
     this.isSingleVersion = isSingleVersion;
   }
 
-  /** Answers of 500 to the item. */
-  get serverErrors(): number {
-    return this.#serverErrors;
-  }
-
   /** Answers of 500 to its reward call. */
   get rewardErrors(): number {
     return this.#rewardErrors;
@@ -90,8 +90,19 @@
     return this.#events.length > 0;
   }
 
-  countServerError(): void {
+  countServerError(engine: TargetId): void {
     this.#serverErrors += 1;
+    this.#failedAt.add(engine);
+  }
+
+  /**
+   * Whether it failed so often, and at so many engines, that it fails anywhere.
+   *
+   * @param most - the failures that its route allows
+   */
+  isHopeless(most: number): boolean {
+    if (this.#serverErrors < most) return false;
+    return this.#failedAt.size >= HOPELESS_ENGINES || this.#serverErrors >= 2 * most;
   }
 
   countRewardError(): void {
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -24,6 +24,7 @@
 import { Engines } from './engines';
 import { Gateway } from './gateway';
 import { Peers, createStarted } from './peers';
+import { ItemStore } from './item-store';
 import { EvenPlacement } from './placement';
 import { type ForwardRequest, RequestForwarder } from './request-forwarder';
 import { ResultWriter } from './result-writer';
@@ -34,6 +35,7 @@
 import { FastestChooser } from './target-chooser';
 import type { TargetClient } from './target-port';
 import { TargetStats } from './target-stats';
+import { TextStore } from './text-store';
 import { UsageDuty } from './usage-duty';
 import { WeightDuty } from './weight-duty';
 import { HomeWeights } from './weight-planner';
@@ -152,6 +154,8 @@
 
   #lastOutageAt = -Infinity as MonoTime;
 
+  #gainedAt = Infinity as MonoTime;
+
   #isStopping = false;
 
   #timers: NodeJS.Timeout[] = [];
@@ -215,6 +219,8 @@
       chooser: new FastestChooser({ stats: this.#stats, zone, random }),
       onRun: (req, at) => this.#countRun(req, at),
     });
+    const texts = new TextStore(log);
+    const items = new ItemStore(texts);
     const desk = new SubmissionDesk({
       clock,
       metrics,
@@ -224,6 +230,8 @@
       log,
       tail: this.#workTail,
       book: this.#book,
+      texts,
+      items,
     });
     this.gateway = new Gateway({
       clock,
@@ -237,6 +245,7 @@
     const engines = new Engines(clock, this.#directory);
     this.#writer = new ResultWriter({
       log,
+      texts,
       book: this.#book,
       clock,
       metrics,
@@ -248,6 +257,7 @@
       logger: createBounded('gateway.work'),
       config: this.#config,
       book: this.#book,
+      items,
       engines,
       client,
       rewards: new RewardCaller({
@@ -299,7 +309,10 @@
     this.#targetTail.start();
     this.#dutyTail.start();
     this.#workTail.start();
-    this.#keeper.onGained(() => this.#usage.restart());
+    this.#keeper.onGained(() => {
+      this.#gainedAt = this.#options.clock.mono();
+      this.#usage.restart();
+    });
     this.#keeper.start();
     void this.#announce();
     this.#timers = [
@@ -384,14 +397,20 @@
     if (this.#isStopping) return;
     const isHeld = isSome(this.#keeper.lease);
     if (isHeld) {
-      this.#runner.start();
-      this.#weights.work();
+      if (this.#hasReadWork()) this.#runner.start();
+      if (this.#runner.isActive) this.#weights.work();
       this.#usage.work();
     } else if (this.#isSuperseded()) {
       this.#runner.stop();
     }
   }
 
+  /** Whether everything that stood on the log when the duty was gained has been read. */
+  #hasReadWork(): boolean {
+    const { caughtUpAt } = this.#workTail;
+    return caughtUpAt !== undefined && caughtUpAt >= this.#gainedAt;
+  }
+
   // A holder that lost touch with the log goes on with its items until it reads a successor's
   // claim: while the log is away, nobody else can run them.
   #isSuperseded(): boolean {
--- a/packages/gateway/src/result-writer.ts
+++ b/packages/gateway/src/result-writer.ts
@@ -1,10 +1,12 @@
 /** Writes results to the log, so that they are listed. */
-import type { Clock, Logger, Metrics } from '@hibiscushill/base';
+import type { Clock, Failure, Logger, Metrics, Offset } from '@hibiscushill/base';
 import type { Log } from '@hibiscushill/log';
+import { type Result, err, ok } from 'neverthrow';
 
 import type { ItemResult } from './caller-port';
 import type { SubmissionBook, SubmissionId } from './submission';
-import { createResults } from './work-records';
+import type { TextStore } from './text-store';
+import { type ListedResult, createResults } from './work-records';
 
 interface WaitingResult {
   readonly submission: SubmissionId;
@@ -14,6 +16,7 @@
 /** What a writer runs on. */
 export interface ResultWriterOptions {
   readonly log: Log;
+  readonly texts: TextStore;
   readonly book: SubmissionBook;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -23,8 +26,8 @@
 // The log answers within a few milliseconds; a slow one takes tens of times as long.
 const APPEND_TIMEOUT_MS = 1_500;
 const RETRY_MS = 150;
-// A record of the log holds 256 KiB.
-const RECORD_BYTES = 180_000;
+// One call takes two megabytes; a smaller batch is sooner written.
+const BATCH_BYTES = 600_000;
 
 /** Appends results in batches: what comes during one append goes with the next. */
 export class ResultWriter {
@@ -58,12 +61,10 @@
   }
 
   async #writeBatch(): Promise<void> {
-    const { log, clock, metrics, logger } = this.#options;
+    const { clock, metrics, logger } = this.#options;
     const batch = this.#takeBatch();
     const sentAt = clock.mono();
-    const done = await log.append('work', [createResults({ results: batch })], {
-      timeoutMs: APPEND_TIMEOUT_MS,
-    });
+    const done = await this.#write(batch);
     metrics.time('work.append', clock.mono() - sentAt);
     if (done.isOk()) return;
     logger.warn('Results were not written; they are written again.', {
@@ -75,11 +76,25 @@
     await clock.sleep(RETRY_MS);
   }
 
+  /** Writes the texts first, so that a listed result can be read. */
+  async #write(batch: readonly WaitingResult[]): Promise<Result<Offset, Failure>> {
+    const { log, texts } = this.#options;
+    const outputs = batch.flatMap(({ result }) => (result.output === '' ? [] : [result.output]));
+    const refs = outputs.length > 0 ? await texts.put(outputs, APPEND_TIMEOUT_MS) : ok([]);
+    if (refs.isErr()) return err(refs.error);
+    const places = [...refs.value];
+    const results = batch.map(({ submission, result: { output, ...rest } }) => {
+      const result: ListedResult = { ...rest, text: output === '' ? undefined : places.shift() };
+      return { submission, result };
+    });
+    return log.append('work', [createResults({ results })], { timeoutMs: APPEND_TIMEOUT_MS });
+  }
+
   #takeBatch(): WaitingResult[] {
     let bytes = 0;
     const count = this.#waiting.findIndex(({ result }) => {
       bytes += result.output.length;
-      return bytes > RECORD_BYTES;
+      return bytes > BATCH_BYTES;
     });
     return this.#waiting.splice(0, count < 0 ? this.#waiting.length : Math.max(1, count));
   }
--- a/packages/gateway/src/reward-caller.ts
+++ b/packages/gateway/src/reward-caller.ts
@@ -8,6 +8,8 @@
 
 // Long enough for the slowest scoring call, short enough for another try before the step is due.
 const REWARD_TIMEOUT_MS = 1_500;
+// Beyond the errors that a route allows, for targets that fail whatever they are asked.
+const EXTRA_ERRORS = 2;
 const FIRST_PAUSE_MS = 50;
 const MOST_PAUSE_MS = 800;
 
@@ -46,7 +48,7 @@
       if (route) {
         const receipt = await this.#try(task, reward, route);
         if (receipt !== undefined) return { type: 'scored', receipt };
-        if (task.rewardErrors >= route.maxRuns) return { type: 'failed' };
+        if (task.rewardErrors >= route.maxRuns + EXTRA_ERRORS) return { type: 'failed' };
       }
       await this.#options.clock.sleep(pauseMs);
       pauseMs = Math.min(MOST_PAUSE_MS, pauseMs * 2);
--- a/packages/gateway/src/submission-desk.ts
+++ b/packages/gateway/src/submission-desk.ts
@@ -24,8 +24,16 @@
 import type { ConfigBook } from './config-book';
 import { createAnswer } from './request-forwarder';
 import type { ServingRoute } from './serving-config';
-import type { ItemId, Submission, SubmissionBook, SubmissionId } from './submission';
-import { createAccepted, createEnded } from './work-records';
+import type { ItemStore } from './item-store';
+import type {
+  ItemId,
+  Submission,
+  SubmissionBook,
+  SubmissionId,
+  SubmissionTerms,
+} from './submission';
+import type { TextStore } from './text-store';
+import { type ListedResult, createAccepted, createEnded, splitItems } from './work-records';
 
 // The log usually answers within a few milliseconds.
 const APPEND_TIMEOUT_MS = 900;
@@ -50,6 +58,8 @@
   readonly log: Log;
   readonly tail: LogTail;
   readonly book: SubmissionBook;
+  readonly texts: TextStore;
+  readonly items: ItemStore;
 }
 
 type Written = 'written' | 'not-written' | 'unknown';
@@ -92,7 +102,7 @@
       retentionMs: route.retentionMs,
       itemCount: spec.items.length,
     };
-    const written = await this.#write(createAccepted(terms, spec.items));
+    const written = await this.#writeSubmission(terms, spec);
     this.#options.logger.info('A submission was handed in.', {
       id: spec.id,
       step: spec.step,
@@ -122,7 +132,7 @@
     if (submission.results.length <= after && !(await this.#isFresh())) {
       return refuse(this.#refuseStale());
     }
-    return { isOk: true, value: createPage(submission, after) };
+    return this.#createPage(submission, after);
   }
 
   /** Reads the body of an item that has no result yet. */
@@ -133,7 +143,9 @@
   ): Promise<Outcome<Uint8Array>> {
     const found = await this.#find(call, team);
     if (!found.isOk) return found;
-    const spec = found.value.findItem(item);
+    const items = await this.#options.items.load(found.value);
+    if (items.isErr()) return refuse(this.#refuseStale());
+    const spec = items.value.find((one) => one.id === item);
     if (!spec || found.value.isEnded || found.value.isListed(item)) {
       return refuse(createAnswer('step_unknown', 'The item has a result or does not exist.'));
     }
@@ -174,6 +186,23 @@
     return tail.catchUp(AbortSignal.timeout(CATCH_UP_MS));
   }
 
+  async #createPage(submission: Submission, after: number): Promise<Outcome<ResultPage>> {
+    const listed = pickPage(submission, after);
+    const refs = listed.flatMap(({ text }) => (text ? [text] : []));
+    const texts = await this.#options.texts.get(refs);
+    if (texts.isErr()) {
+      this.#noteFailure(texts.error, 1);
+      return refuse(this.#refuseStale());
+    }
+    const outputs = [...texts.value];
+    const results = listed.map(({ text, ...rest }): ItemResult => {
+      const output = text ? String(outputs.shift()) : '';
+      return { ...rest, output };
+    });
+    const next = Math.max(0, after) + results.length;
+    return { isOk: true, value: { total: submission.terms.itemCount, next, results } };
+  }
+
   async #waitForResult(submission: Submission, after: number, waitMs: Millis): Promise<void> {
     const { id } = submission.terms;
     const stop = new AbortController();
@@ -189,6 +218,18 @@
     if (wakers.size === 0) this.#waiting.delete(id);
   }
 
+  /** Writes the items first; they count only once the submission that names them is written. */
+  async #writeSubmission(terms: SubmissionTerms, spec: SubmissionSpec): Promise<Written> {
+    const { texts, clock } = this.#options;
+    for (let tries = 1; tries <= APPEND_TRIES; tries += 1) {
+      const items = await texts.put(splitItems(spec.items), APPEND_TIMEOUT_MS);
+      if (items.isOk()) return this.#write([createAccepted({ terms, items: items.value })]);
+      this.#noteFailure(items.error, tries);
+      if (tries < APPEND_TRIES) await clock.sleep(RETRY_PAUSE_MS);
+    }
+    return 'not-written';
+  }
+
   async #write(records: readonly NewRecord[]): Promise<Written> {
     const { log, clock, metrics } = this.#options;
     let isDoubtful = false;
@@ -243,16 +284,16 @@
   }
 }
 
-function createPage(submission: Submission, after: number): ResultPage {
-  const results: ItemResult[] = [];
+/** Picks the results of a page; at least one where there is one. */
+function pickPage(submission: Submission, after: number): ListedResult[] {
+  const results: ListedResult[] = [];
   let bytes = 0;
   for (const result of submission.results.slice(after)) {
-    bytes += result.output.length;
+    bytes += result.text?.bytes ?? 0;
     if (results.length > 0 && bytes > PAGE_BYTES) break;
     results.push(result);
   }
-  const next = Math.max(0, after) + results.length;
-  return { total: submission.terms.itemCount, next, results };
+  return results;
 }
 
 function done(): Outcome<void> {
--- a/packages/gateway/src/submission.ts
+++ b/packages/gateway/src/submission.ts
@@ -2,12 +2,13 @@
 import type { Brand, Millis, RequestId, TeamId, WallTime, WeightVersion } from '@hibiscushill/base';
 import type { LogRecord } from '@hibiscushill/log';
 
-import type { ItemResult, ItemSpec } from './caller-port';
 import type { ModelId } from './serving-config';
+import type { TextRef } from './text-store';
 import {
-  type AcceptedPart,
+  type AcceptedNote,
   type EndedNote,
   type HandoverNote,
+  type ListedResult,
   type ResultsNote,
   parseWorkRecord,
 } from './work-records';
@@ -40,9 +41,10 @@
 export class Submission {
   readonly terms: SubmissionTerms;
 
-  readonly #items = new Map<ItemId, ItemSpec>();
+  /** Where its items stand. */
+  readonly itemRefs: readonly TextRef[];
 
-  readonly #results: ItemResult[] = [];
+  readonly #results: ListedResult[] = [];
 
   readonly #listed = new Set<ItemId>();
 
@@ -50,14 +52,13 @@
 
   #isEnded = false;
 
-  /** @param terms - its terms */
-  constructor(terms: SubmissionTerms) {
+  /**
+   * @param terms - its terms
+   * @param itemRefs - where its items stand
+   */
+  constructor(terms: SubmissionTerms, itemRefs: readonly TextRef[]) {
     this.terms = terms;
-  }
-
-  /** Whether all its items have been read; only then it counts. */
-  get isAccepted(): boolean {
-    return this.#items.size >= this.terms.itemCount;
+    this.itemRefs = itemRefs;
   }
 
   get isEnded(): boolean {
@@ -66,39 +67,26 @@
 
   /** Whether items are left that have no result. */
   get isOpen(): boolean {
-    return !this.#isEnded && this.#listed.size < this.#items.size;
-  }
-
-  get items(): Iterable<ItemSpec> {
-    return this.#items.values();
+    return !this.#isEnded && this.#listed.size < this.terms.itemCount;
   }
 
   /** The results in the order of their positions. */
-  get results(): readonly ItemResult[] {
+  get results(): readonly ListedResult[] {
     return this.#results;
   }
 
-  findItem(id: ItemId): ItemSpec | undefined {
-    return this.#items.get(id);
-  }
-
   /** Tells whether an item has a result. */
   isListed(id: ItemId): boolean {
     return this.#listed.has(id);
   }
 
-  /** Adds items of the record that accepted it. */
-  addItems(items: readonly ItemSpec[]): void {
-    items.forEach((item) => this.#items.set(item.id, item));
-  }
-
   /**
    * Lists a result; the first of an item stands.
    *
    * @returns whether it was the first
    */
-  list(result: ItemResult): boolean {
-    if (!this.#items.has(result.item) || this.#listed.has(result.item)) return false;
+  list(result: ListedResult): boolean {
+    if (this.#listed.has(result.item)) return false;
     this.#listed.add(result.item);
     this.#results.push(result);
     return true;
@@ -139,19 +127,18 @@
 
   /** Finds an accepted submission. */
   find(id: SubmissionId): Submission | undefined {
-    const found = this.#submissions.get(id);
-    return found?.isAccepted ? found : undefined;
+    return this.#submissions.get(id);
   }
 
   /** Lists the submissions with items left to run. */
   listOpen(): Submission[] {
-    return [...this.#submissions.values()].filter((one) => one.isAccepted && one.isOpen);
+    return [...this.#submissions.values()].filter((one) => one.isOpen);
   }
 
   /** Takes the next record of the stream; records of other kinds are ignored. */
   apply(record: LogRecord): void {
     const parsed = parseWorkRecord(record);
-    if (parsed?.type === 'accepted') this.#takePart(parsed.body);
+    if (parsed?.type === 'accepted') this.#accept(parsed.body);
     if (parsed?.type === 'results') this.#takeResults(parsed.body);
     if (parsed?.type === 'ended') this.#takeEnd(parsed.body);
     if (parsed?.type === 'handover') this.#takeHandover(parsed.body);
@@ -168,14 +155,11 @@
       .forEach((one) => this.#submissions.delete(one.terms.id));
   }
 
-  // The parts of a submission stand next to one another: they are appended in one call.
-  #takePart({ terms, part, items }: AcceptedPart): void {
-    const known = this.#submissions.get(terms.id);
-    if (known?.isAccepted) return;
-    const submission = known && part > 0 ? known : new Submission(terms);
+  #accept({ terms, items }: AcceptedNote): void {
+    if (this.#submissions.has(terms.id)) return;
+    const submission = new Submission(terms, items);
     this.#submissions.set(terms.id, submission);
-    submission.addItems(items);
-    if (submission.isAccepted) this.#announce({ type: 'accepted', submission });
+    this.#announce({ type: 'accepted', submission });
   }
 
   #takeResults({ results }: ResultsNote): void {
--- a/packages/gateway/src/work-queue.ts
+++ b/packages/gateway/src/work-queue.ts
@@ -1,4 +1,5 @@
 /** The order in which waiting items start. */
+import type { ItemSpec } from './caller-port';
 import type { ItemTask } from './item-task';
 import type { Submission } from './submission';
 
@@ -23,7 +24,7 @@
   abstract sort(tasks: readonly ItemTask[]): ItemTask[];
 
   /** Takes note of a submission, before its items are ordered. */
-  abstract note(submission: Submission): void;
+  abstract note(submission: Submission, items: readonly ItemSpec[]): void;
 }
 
 /**
@@ -39,9 +40,9 @@
 
   readonly #seen = new Set<string>();
 
-  override note(submission: Submission): void {
+  override note(submission: Submission, items: readonly ItemSpec[]): void {
     const tokens = new Map<string, number>();
-    [...submission.items].forEach(({ group, expectedTokens = 0 }) => {
+    items.forEach(({ group, expectedTokens = 0 }) => {
       tokens.set(group, Math.max(tokens.get(group) ?? 0, expectedTokens));
     });
     const isCarried = (group: string): boolean => this.#seen.has(group);
--- a/packages/gateway/src/work-records.ts
+++ b/packages/gateway/src/work-records.ts
@@ -5,6 +5,7 @@
 
 import type { ItemResult, ItemSpec } from './caller-port';
 import type { ItemId, SubmissionId, SubmissionTerms } from './submission';
+import type { TextRef } from './text-store';
 
 /** The kinds of the records. */
 export const WORK_KINDS = {
@@ -14,17 +15,22 @@
   handover: 'work.handover',
 } as const;
 
-/** A part of a submission that was accepted. */
-export interface AcceptedPart {
+/** A submission that was accepted. */
+export interface AcceptedNote {
   readonly terms: SubmissionTerms;
-  /** Counts the parts from 0. */
-  readonly part: number;
-  readonly items: readonly ItemSpec[];
+  /** Where its items stand, in parts. */
+  readonly items: readonly TextRef[];
+}
+
+/** A result without its text. */
+export interface ListedResult extends Omit<ItemResult, 'output'> {
+  /** Where its text stands; undefined for an empty one. */
+  readonly text: TextRef | undefined;
 }
 
 /** Results in the order in which they are listed. */
 export interface ResultsNote {
-  readonly results: readonly { readonly submission: SubmissionId; readonly result: ItemResult }[];
+  readonly results: readonly { readonly submission: SubmissionId; readonly result: ListedResult }[];
 }
 
 /** The end of a submission. */
@@ -40,7 +46,7 @@
 
 /** A record that has been read and checked. */
 export type WorkRecord =
-  | { readonly type: 'accepted'; readonly body: AcceptedPart }
+  | { readonly type: 'accepted'; readonly body: AcceptedNote }
   | { readonly type: 'results'; readonly body: ResultsNote }
   | { readonly type: 'ended'; readonly body: EndedNote }
   | { readonly type: 'handover'; readonly body: HandoverNote };
@@ -66,6 +72,8 @@
   expectedTokens: z.number().optional(),
 });
 
+const Text = z.object({ offset: z.number().int().min(0), bytes: z.number() });
+
 const Accepted = z.object({
   terms: z.object({
     id: text<SubmissionId>(),
@@ -81,8 +89,7 @@
     retentionMs: z.number(),
     itemCount: z.number().int().min(0),
   }),
-  part: z.number().int().min(0),
-  items: z.array(Item),
+  items: z.array(Text),
 });
 
 const Results = z.object({
@@ -92,7 +99,7 @@
       result: z.object({
         item: text<ItemId>(),
         state: z.enum(['complete', 'dead']),
-        output: z.string(),
+        text: Text.optional(),
         versions: z.array(number()),
         score: z.string().optional(),
       }),
@@ -122,7 +129,7 @@
     case WORK_KINDS.accepted:
       return read(Accepted, record, (body) => ({
         type: 'accepted',
-        body: body as unknown as AcceptedPart,
+        body: body as unknown as AcceptedNote,
       }));
     case WORK_KINDS.results:
       return read(Results, record, (body) => ({
@@ -138,17 +145,9 @@
   }
 }
 
-/**
- * Makes the records that accept a submission, to be appended in one call.
- *
- * @param terms - its terms
- * @param items - its items
- * @returns one record for each part
- */
-export function createAccepted(terms: SubmissionTerms, items: readonly ItemSpec[]): NewRecord[] {
-  return splitItems(items).map((part, index) =>
-    createRecord(WORK_KINDS.accepted, { terms, part: index, items: part } satisfies AcceptedPart),
-  );
+/** Makes the record that accepts a submission. */
+export function createAccepted(note: AcceptedNote): NewRecord {
+  return createRecord(WORK_KINDS.accepted, note);
 }
 
 /** Makes the record that lists results. */
@@ -170,7 +169,13 @@
   return { id: createId<RecordId>(), kind, payload };
 }
 
-function splitItems(items: readonly ItemSpec[]): ItemSpec[][] {
+/**
+ * Splits a submission's items into parts that each fit into a record.
+ *
+ * @param items - the items
+ * @returns at least one part
+ */
+export function splitItems(items: readonly ItemSpec[]): ItemSpec[][] {
   const parts: ItemSpec[][] = [[]];
   let bytes = 0;
   items.forEach((item) => {
@@ -185,6 +190,17 @@
   return parts;
 }
 
+/**
+ * Reads a part of a submission's items.
+ *
+ * @param stored - what was stored
+ * @returns the items; none for something else
+ */
+export function parseItems(stored: unknown): ItemSpec[] {
+  const parsed = z.array(Item).safeParse(stored);
+  return parsed.success ? (parsed.data as ItemSpec[]) : [];
+}
+
 function measureItem(item: ItemSpec): number {
   const headers = JSON.stringify(item.headers).length;
   const reward = item.reward ? item.reward.body.length + item.reward.path.length : 0;
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -13,6 +13,7 @@
 import type { ConfigBook } from './config-book';
 import type { TargetEntry } from './directory';
 import type { Engines } from './engines';
+import type { ItemStore } from './item-store';
 import { ItemRun, type RunOutcome } from './item-run';
 import { ItemTask, type ItemText } from './item-task';
 import { type EngineView, type PlacementPolicy, findFastest, isSlow } from './placement';
@@ -30,6 +31,8 @@
 const RUN_DEADLINE_MS = 10_000;
 // An item that an engine refused waits this long, so that the engine isn't asked at once again.
 const REFUSED_PAUSE_MS = 60;
+// Items that could not be read are asked for again after this.
+const LOAD_RETRY_MS = 150;
 // Texts of ended submissions that may be taken up by a later one.
 const SHELF_TEXTS = 2_000;
 
@@ -40,6 +43,7 @@
   readonly logger: Logger;
   readonly config: ConfigBook;
   readonly book: SubmissionBook;
+  readonly items: ItemStore;
   readonly engines: Engines;
   readonly client: TargetClient;
   readonly rewards: RewardCaller;
@@ -120,9 +124,12 @@
     if (this.#isActive) return;
     this.#isActive = true;
     this.#isDraining = false;
-    this.#options.book.listOpen().forEach((submission) => this.#add(submission));
+    const open = this.#options.book.listOpen();
+    open.forEach((submission) => {
+      void this.#add(submission);
+    });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
-    this.#options.logger.info('Runs submissions.', { items: this.#tasks.size });
+    this.#options.logger.info('Runs submissions.', { open: open.length });
     this.schedule();
   }
 
@@ -172,19 +179,30 @@
 
   #onChange(change: BookChange): void {
     if (!this.#isActive) return;
-    if (change.type === 'accepted') this.#add(change.submission);
+    if (change.type === 'accepted') void this.#add(change.submission);
     if (change.type === 'ended') this.#end(change.submission);
     if (change.type === 'listed') this.#dropItem(change.submission, change.item);
     this.schedule();
   }
 
-  #add(submission: Submission): void {
-    const route = this.#findRoute(submission);
-    this.#options.order.note(submission);
-    [...submission.items]
-      .filter((item) => !submission.isListed(item.id))
-      .forEach((item) => this.#addItem(submission, item, route));
-    this.schedule();
+  async #add(submission: Submission): Promise<void> {
+    const { clock, items, order, logger } = this.#options;
+    while (this.#isActive && submission.isOpen) {
+      const loaded = await items.load(submission);
+      if (loaded.isOk()) {
+        if (!this.#isActive || !submission.isOpen) return;
+        const route = this.#findRoute(submission);
+        order.note(submission, loaded.value);
+        loaded.value
+          .filter((item) => !submission.isListed(item.id))
+          .forEach((item) => this.#addItem(submission, item, route));
+        this.schedule();
+        return;
+      }
+      const { id } = submission.terms;
+      logger.warn('Items could not be read.', { id, detail: loaded.error.detail });
+      await clock.sleep(LOAD_RETRY_MS);
+    }
   }
 
   #addItem(submission: Submission, spec: ItemSpec, route: ServingRoute | undefined): void {
@@ -355,8 +373,8 @@
       void this.#score(task);
       return;
     }
-    if (outcome === 'server-error') task.countServerError();
-    if (outcome === 'impossible' || task.serverErrors >= route.maxRuns) {
+    if (outcome === 'server-error') task.countServerError(engine.id);
+    if (outcome === 'impossible' || task.isHopeless(route.maxRuns)) {
       this.#finish(task, 'dead');
       return;
     }
--- a/packages/log/src/detour-client.ts
+++ b/packages/log/src/detour-client.ts
@@ -5,6 +5,7 @@
   type Metrics,
   type Millis,
   type MonoTime,
+  type RandomSource,
   createLogger,
 } from '@hibiscushill/base';
 import { type Result, ResultAsync } from 'neverthrow';
@@ -15,14 +16,15 @@
 const FIRST_DETOUR_MS = 1_000;
 const MOST_DETOUR_MS = 4_000;
 // Peers that are tried for one call.
-const PEER_TRIES = 2;
+const PEER_TRIES = 4;
 
 /** The ways to the log. */
 export interface DetourOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly random: RandomSource;
   readonly direct: HttpCaller;
-  /** The peers that may reach the log, the one to try first in front. */
+  /** The peers that may reach the log. */
   readonly peers: () => readonly HttpCaller[];
 }
 
@@ -39,6 +41,8 @@
 
   #isDetour = false;
 
+  #lastGood: HttpCaller | undefined;
+
   #detourMs: Millis = FIRST_DETOUR_MS;
 
   /** @param options - the ways to the log */
@@ -61,10 +65,11 @@
         return result;
       }
     }
-    for (const peer of peers().slice(0, PEER_TRIES)) {
+    for (const peer of this.#pickPeers(peers())) {
       const relayed = await peer.send(call);
       if (isAnswered(relayed)) {
         if (result) this.#startDetour();
+        this.#lastGood = peer;
         this.#note(true);
         return relayed;
       }
@@ -81,6 +86,18 @@
     return this.#isDetour;
   }
 
+  /** The peer that helped last, then others at random, since many may be turned away as well. */
+  #pickPeers(peers: readonly HttpCaller[]): HttpCaller[] {
+    const { random } = this.#options;
+    const others = peers
+      .filter((peer) => peer !== this.#lastGood)
+      .map((peer) => ({ peer, order: random.fraction() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ peer }) => peer);
+    const first = this.#lastGood && peers.includes(this.#lastGood) ? [this.#lastGood] : [];
+    return [...first, ...others].slice(0, PEER_TRIES);
+  }
+
   #startDetour(): void {
     this.#detourUntil = (this.#options.clock.mono() + this.#detourMs) as MonoTime;
     this.#detourMs = Math.min(MOST_DETOUR_MS, this.#detourMs * 2);
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -3,7 +3,7 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 /** A named stream of the log. Each stream has its own offsets, dense and from zero. */
-export type StreamName = 'config' | 'targets' | 'usage' | 'work' | `trainer.${string}`;
+export type StreamName = 'config' | 'targets' | 'texts' | 'usage' | 'work' | `trainer.${string}`;
 
 /** What a process appends. */
 export interface NewRecord {
@@ -35,6 +35,8 @@
 /** How a page is read. */
 export interface ReadOptions {
   readonly limit?: number;
+  /** About how many bytes of records are wanted; at least one record comes. */
+  readonly maxBytes?: number;
   /** How long the log may hold an empty answer back, in milliseconds. */
   readonly waitMs?: Millis;
   /** How long the answer may take beyond the wait, in milliseconds. */
