--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -38,6 +38,9 @@
 export { LineBudget } from './line-budget';
 export type { LineBudgetOptions } from './line-budget';
 
+export { LineWriter, installLineWriter } from './line-writer';
+export type { WriteChunk } from './line-writer';
+
 export { ServedMetrics } from './served-metrics';
 
 export { Metrics } from './metrics';
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -69,6 +69,8 @@
   /** Where this process passes calls of others on to the log, `IP:port`. */
   readonly relay: string;
   readonly bounds: NodeBounds;
+  /** Lines below warnings that are written each second. */
+  readonly logLinesPerSecond: number;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly random: RandomSource;
@@ -164,7 +166,7 @@
   constructor(options: NodeOptions) {
     this.#options = options;
     const { clock, metrics, random, log, client, zone, bounds } = options;
-    const budget = new LineBudget({ clock });
+    const budget = new LineBudget({ clock, linesPerSecond: options.logLinesPerSecond });
     const createBounded = (prefix: string): Logger => budget.bound(createLogger(prefix));
     this.#logger = createBounded('gateway.node');
     this.#config = new ConfigBook({ clock, metrics, withdrawnKeyMs: bounds.withdrawnKeyMs });
