--- a/packages/control/src/duty/reading.ts
+++ b/packages/control/src/duty/reading.ts
@@ -24,6 +24,10 @@
 
   readonly #apply: (record: LogRecord) => void;
 
+  #running: Promise<boolean> | undefined;
+
+  #queued: Promise<boolean> | undefined;
+
   /**
    * @param log - the log
    * @param stream - the stream
@@ -69,11 +73,26 @@
   }
 
   /**
-   * Reads what the fold hasn't taken yet, until a read finds nothing more.
+   * Reads what the fold hasn't taken yet, until a read finds nothing more. Calls during a read
+   * share the one that follows it.
    *
-   * @returns whether the stream's end was reached
+   * @returns whether the stream's end was reached by a read that was sent after the call
    */
-  async readToEnd(): Promise<boolean> {
+  readToEnd(): Promise<boolean> {
+    if (!this.#running) {
+      this.#running = this.#readAll().finally(() => {
+        this.#running = undefined;
+      });
+      return this.#running;
+    }
+    this.#queued ??= this.#running.then(() => {
+      this.#queued = undefined;
+      return this.readToEnd();
+    });
+    return this.#queued;
+  }
+
+  async #readAll(): Promise<boolean> {
     for (;;) {
       const from = this.#fold.next ?? (0 as Offset);
       const page = await this.#log.read(this.#stream, from, { limit: PAGE_RECORDS, waitMs: 0 });
--- a/packages/log/src/detour-client.ts
+++ b/packages/log/src/detour-client.ts
@@ -15,6 +15,8 @@
 // How long the direct way isn't tried after it failed; longer each time that it fails again.
 const FIRST_DETOUR_MS = 1_000;
 const MOST_DETOUR_MS = 4_000;
+// A way that changes more often is told of once in this time.
+const NOTE_MS = 1_000;
 // Peers that are tried for one call.
 const PEER_TRIES = 4;
 
@@ -41,6 +43,8 @@
 
   #isDetour = false;
 
+  #notedAt = -Infinity as MonoTime;
+
   #lastGood: HttpCaller | undefined;
 
   #detourMs: Millis = FIRST_DETOUR_MS;
@@ -106,8 +110,11 @@
   #note(isDetour: boolean): void {
     if (!isDetour) this.#detourMs = FIRST_DETOUR_MS;
     if (isDetour) this.#options.metrics.count('log.detour');
-    if (isDetour === this.#isDetour) return;
+    const now = this.#options.clock.mono();
+    const isNews = isDetour !== this.#isDetour && now - this.#notedAt > NOTE_MS;
     this.#isDetour = isDetour;
+    if (!isNews) return;
+    this.#notedAt = now;
     this.#logger.info(isDetour ? 'Reaches the log through a peer.' : 'Reaches the log directly.');
   }
 }
