--- a/packages/gateway/src/weight-duty.ts
+++ b/packages/gateway/src/weight-duty.ts
@@ -16,7 +16,7 @@
 import type { Engines } from './engines';
 import type { ModelId, ServingService } from './serving-config';
 import type { SubmissionBook } from './submission';
-import type { ModelState, WeightChange, WeightPlanner } from './weight-planner';
+import type { ModelState, WeightChange, WeightPlanner, WeightView } from './weight-planner';
 import type { EngineWork, WorkRunner } from './work-runner';
 
 // A change of weights takes about a second, more while many engines load.
@@ -155,8 +155,12 @@
   }
 }
 
-function readWork({ runningOfModel, canMove }: EngineWork): { running: number; canMove: boolean } {
-  return { running: runningOfModel, canMove };
+function readWork({
+  runningOfModel,
+  canMove,
+  isPoor,
+}: EngineWork): Pick<WeightView, 'running' | 'canMove' | 'isPoor'> {
+  return { running: runningOfModel, canMove, isPoor };
 }
 
 function changeKey(engine: TargetId, model: ModelId): string {
--- a/packages/gateway/src/weight-planner.ts
+++ b/packages/gateway/src/weight-planner.ts
@@ -15,6 +15,8 @@
   readonly running: number;
   /** Whether other engines have room for these streams. */
   readonly canMove: boolean;
+  /** Whether it is slow at present or failed lately. */
+  readonly isPoor: boolean;
 }
 
 /** A model, the version that it should have, and its engines. */
@@ -62,7 +64,7 @@
  * are free as one trainer's share of the engines: each model keeps to its share of the engines,
  * those that already have its newest weights. Engines that are too old for the next step load at
  * once, the others when no item waits; running streams are moved to engines with room, or else go
- * on under the new weights.
+ * on under the new weights. An engine that is slow or fails gives its place to another.
  */
 export class HomeWeights extends WeightPlanner {
   override plan(models: readonly ModelState[]): WeightChange[] {
@@ -119,6 +121,7 @@
   const homes = [...engines]
     .sort(
       (a, b) =>
+        Number(a.isPoor) - Number(b.isPoor) ||
         b.version - a.version ||
         (load.get(a.engine) ?? 0) - (load.get(b.engine) ?? 0) ||
         a.engine.localeCompare(b.engine),
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -57,6 +57,8 @@
   readonly runningOfModel: number;
   /** Whether other engines have room for these streams. */
   readonly canMove: boolean;
+  /** Whether the engine is slow at present or failed lately. */
+  readonly isPoor: boolean;
 }
 
 /** Places waiting items, follows their streams and writes their results. */
@@ -105,13 +107,16 @@
   workAt(engine: TargetEntry, model: ModelId): EngineWork {
     const runs = this.#runsOf(engine.id, model);
     const least = Math.max(1, ...runs.map((run) => run.task.leastVersion));
-    const room = this.#options.engines
-      .list(engine.service)
-      .filter((other) => other.id !== engine.id && !this.#options.engines.isAvoided(other))
-      .map((other) => this.#view(other, model))
-      .filter((view) => !view.isLoading && view.version >= least)
+    const { engines } = this.#options;
+    const sound = engines.list(engine.service).filter((other) => !engines.isAvoided(other));
+    const views = sound.map((other) => this.#view(other, model));
+    const own = this.#view(engine, model);
+    const isSlowNow = own.isSpeedFresh && isSlow(own, findFastest(views));
+    const room = views
+      .filter((view) => view.id !== engine.id && !view.isLoading && view.version >= least)
       .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
-    return { runningOfModel: runs.length, canMove: runs.length <= room };
+    const isPoor = isSlowNow || engines.isAvoided(engine);
+    return { runningOfModel: runs.length, canMove: runs.length <= room, isPoor };
   }
 
   /** Moves a model's streams from an engine to others; they go on where they stopped. */
--- a/packages/gateway/test/weight-planner.test.ts
+++ b/packages/gateway/test/weight-planner.test.ts
@@ -12,6 +12,7 @@
     isLoading: false,
     running: 0,
     canMove: false,
+    isPoor: false,
     ...changes,
   };
 }
@@ -57,6 +58,16 @@
     expect(change).toMatchObject({ engine: 'x', mode: 'wait', movesStreams: true });
   });
 
+  it('gives the place of a slow or failing engine to another', () => {
+    const engines = [engine('u', 3, { isPoor: true }), engine('v', 3), engine('w', 1)];
+    const other = model(
+      'b',
+      1,
+      engines.map((one) => ({ ...one, version: version(1) })),
+    );
+    expect(plan(model('a', 4, engines, { waiting: 5 }), other)).toEqual(['a:w->4 wait']);
+  });
+
   it('lets running streams go on under the new version unless they must not mix', () => {
     const engines = [engine('x', 1, { running: 2 })];
     expect(plan(model('a', 4, engines))).toEqual(['a:x->4 retain']);
