Split the node into its duty, the holder's work and the callers' side; drop what nothing uses

The order port for numbers of targets was never called: neither site sets bounds for them. One list of hop-by-hop headers now serves both programs.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -35,6 +35,8 @@
 export { createLogger } from './logger';
 export type { LogFields, Logger } from './logger';
 
+export { HOP_BY_HOP_HEADERS } from './hop-headers';
+
 export { LineBudget } from './line-budget';
 export type { LineBudgetOptions } from './line-budget';
 
--- a/packages/entry/src/caller-headers.ts
+++ b/packages/entry/src/caller-headers.ts
@@ -1,25 +1,16 @@
 /** Headers between callers and targets: what is passed on, and that no key is among it. */
 import type { IncomingHttpHeaders } from 'node:http';
 
-import type { RequestId } from '@hibiscushill/base';
+import { HOP_BY_HOP_HEADERS, type RequestId } from '@hibiscushill/base';
 import type { Header } from '@hibiscushill/protocol';
 
 // Headers of one connection, the key's own header, and those that the entry sets itself.
 const DROPPED = new Set([
+  ...HOP_BY_HOP_HEADERS,
   'authorization',
-  'connection',
   'content-length',
-  'expect',
   'host',
   'idempotency-key',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
   'x-request-id',
 ]);
 
--- a/packages/gateway/src/config-view.ts
+++ b/packages/gateway/src/config-view.ts
@@ -1,6 +1,4 @@
 /** Lookups in one version of the configuration, in a time that doesn't grow with its size. */
-import type { ServiceId, TeamId } from '@hibiscushill/base';
-
 import type {
   CallerLimits,
   ServingConfig,
@@ -23,8 +21,6 @@
 
   readonly #routes = new Map<string, Map<string, ServingRoute>>();
 
-  readonly #services = new Map<ServiceId, ServingService>();
-
   readonly #teamsByKey = new Map<string, ServingTeam>();
 
   /** @param config - the configuration to index */
@@ -34,7 +30,6 @@
     this.services = config.services;
     this.needsKeys = config.teams !== undefined;
     config.routes.forEach((route) => this.#addRoute(route));
-    config.services.forEach((service) => this.#services.set(service.name, service));
     config.teams?.forEach((team) => team.keys.forEach((key) => this.#teamsByKey.set(key, team)));
   }
 
@@ -61,21 +56,11 @@
     return undefined;
   }
 
-  /** Finds a service by its name. */
-  findService(name: ServiceId): ServingService | undefined {
-    return this.#services.get(name);
-  }
-
   /** Finds the team that holds a key. */
   findTeam(key: string): ServingTeam | undefined {
     return this.#teamsByKey.get(key);
   }
 
-  /** Lists the teams that hold keys. */
-  get teams(): TeamId[] {
-    return [...new Set([...this.#teamsByKey.values()].map((team) => team.name))];
-  }
-
   #addRoute(route: ServingRoute): void {
     const host = route.host.toLowerCase();
     const byPrefix = this.#routes.get(host) ?? new Map<string, ServingRoute>();
--- a/packages/gateway/src/control-port.ts
+++ b/packages/gateway/src/control-port.ts
@@ -1,13 +1,5 @@
 /** Orders and reports that one process at a time gives. */
-import type {
-  Failure,
-  FencingNumber,
-  InstanceId,
-  ServiceId,
-  TeamId,
-  WeightVersion,
-  ZoneId,
-} from '@hibiscushill/base';
+import type { Failure, FencingNumber, InstanceId, TeamId, WeightVersion } from '@hibiscushill/base';
 import type { GuardOptions } from '@hibiscushill/log';
 import type { ResultAsync } from 'neverthrow';
 
@@ -69,15 +61,3 @@
     guard: GuardOptions,
   ): ResultAsync<void, Failure>;
 }
-
-/** Starts and stops targets. */
-export abstract class ScaleSink {
-  /** Orders how many targets of a service run in an availability zone. */
-  abstract scale(
-    service: ServiceId,
-    zone: ZoneId,
-    count: number,
-    author: OrderAuthor,
-    guard: GuardOptions,
-  ): ResultAsync<void, Failure>;
-}
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -2,7 +2,6 @@
 import {
   type Clock,
   type Logger,
-  type Metrics,
   type Millis,
   type MonoTime,
   type ServiceId,
@@ -37,7 +36,6 @@
 /** How the directory judges absence. */
 export interface DirectoryOptions {
   readonly clock: Clock;
-  readonly metrics: Metrics;
 }
 
 // A live target whose entry lapsed in an outage is back within two seconds of the outage's end.
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,5 +1,5 @@
 /** One HTTP request and its answer, over connections that are kept for further ones. */
-import type { Clock, Metrics, Millis, MonoTime } from '@hibiscushill/base';
+import type { Clock, Metrics, Millis } from '@hibiscushill/base';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
 /** A request as it is written. */
@@ -59,7 +59,6 @@
   readonly client: Client;
   /** Whether the present connection ended by a reset rather than by an orderly close. */
   wasReset: boolean;
-  idleSince: MonoTime;
 }
 
 /** Sends requests, one at a time on each connection. */
@@ -124,7 +123,6 @@
   #keep(address: string, connection: KeptConnection): void {
     const connections = this.#idle.get(address) ?? [];
     this.#idle.set(address, connections);
-    Object.assign(connection, { idleSince: this.#options.clock.mono() });
     connections.push(connection);
   }
 
@@ -155,7 +153,7 @@
           callback(null, socket);
         }),
     });
-    const connection: KeptConnection = { client, ...state, idleSince: 0 as MonoTime };
+    const connection: KeptConnection = { client, ...state };
     client.on('disconnect', () => this.#drop(address, connection));
     return connection;
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,7 +17,7 @@
 
 export { ConfigView } from './config-view';
 
-export { EngineControl, ScaleSink, UsageSink } from './control-port';
+export { EngineControl, UsageSink } from './control-port';
 export type {
   EngineReport,
   OrderAuthor,
@@ -35,7 +35,9 @@
 export { ExchangeSink, HttpExchanger } from './http-exchange';
 export type { AbortExchange, ExchangeError, ExchangeRequest } from './http-exchange';
 
-export { CONTROL_DUTY, GatewayNode } from './node';
+export { CONTROL_DUTY } from './control-duty';
+
+export { GatewayNode } from './node';
 export type { NodeBounds, NodeOptions } from './node';
 
 export { createAnswer } from './request-forwarder';
@@ -45,7 +47,6 @@
   ModelId,
   RouteBackend,
   RouteKind,
-  ScaleBounds,
   ServingConfig,
   ServingRoute,
   ServingService,
--- a/packages/gateway/src/serving-config.ts
+++ b/packages/gateway/src/serving-config.ts
@@ -44,25 +44,11 @@
   readonly retentionMs: Millis;
 }
 
-/** How many targets of a service may run in each availability zone. */
-export interface ScaleBounds {
-  readonly least: number;
-  readonly most: number;
-  /** How long a started target takes until it serves. */
-  readonly bootMs: Millis;
-}
-
 /** A service. */
 export interface ServingService {
   readonly name: ServiceId;
-  /** The most connections that one target accepts from all callers together. */
-  readonly maxConnections: number;
   /** The models of a service of model engines; empty for a plain service. */
   readonly models: readonly ModelId[];
-  /** Requests that an engine runs at once; 0 for a plain service. */
-  readonly engineSlots: number;
-  /** Bounds for starting and stopping targets; undefined where the count is fixed. */
-  readonly scale: ScaleBounds | undefined;
 }
 
 /** A team and the keys that its callers show. */
--- a/packages/gateway/src/target-stats.ts
+++ b/packages/gateway/src/target-stats.ts
@@ -69,11 +69,6 @@
     Object.assign(this.#read(target), { load, loadAt: this.#clock.mono() });
   }
 
-  /** Requests of this process in flight at a target. */
-  inFlight(target: TargetId): number {
-    return this.#records.get(target)?.inFlight ?? 0;
-  }
-
   /** Estimates the requests at a target from all callers, per slot. */
   loadOf(target: TargetId, slots: number): number {
     const record = this.#records.get(target);
--- a/packages/gateway/src/window-counts.ts
+++ b/packages/gateway/src/window-counts.ts
@@ -15,17 +15,17 @@
 /** The kinds of the records. */
 export const COUNT_KINDS = { counted: 'counts.counted', closed: 'counts.closed' } as const;
 
-const counts = z.record(z.string(), z.number().int().min(0));
+const teamCounts = z.record(z.string(), z.number().int().min(0));
 
 /** What one process has counted in a window so far. Later records replace earlier ones. */
 const Counted = z.object({
   incarnation: z.string(),
   window: z.number().int(),
-  counts,
+  counts: teamCounts,
 });
 
 /** The figures of a window; the first record of a window stands. */
-const Closed = z.object({ window: z.number().int(), counts });
+const Closed = z.object({ window: z.number().int(), counts: teamCounts });
 
 /** Adds up what all processes have counted. */
 export class WindowCounts {
@@ -114,9 +114,9 @@
 
   /** Counts a request that began in a window. */
   count(window: number, team: TeamId): void {
-    const window1 = this.#counts.get(window) ?? {};
-    this.#counts.set(window, window1);
-    window1[team] = (window1[team] ?? 0) + 1;
+    const counts = this.#counts.get(window) ?? {};
+    this.#counts.set(window, counts);
+    counts[team] = (counts[team] ?? 0) + 1;
     this.#dirty.add(window);
   }
 
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -12,11 +12,12 @@
 import type { ItemSpec } from './caller-port';
 import type { ConfigBook } from './config-book';
 import type { TargetEntry } from './directory';
+import { EngineBoard, type EngineWork } from './engine-board';
 import type { Engines } from './engines';
 import type { ItemStore } from './item-store';
 import { ItemRun, type RunOutcome } from './item-run';
 import { ItemTask, type ItemText } from './item-task';
-import { type EngineView, type PlacementPolicy, findFastest, isSlow } from './placement';
+import type { PlacementPolicy } from './placement';
 import type { ResultWriter } from './result-writer';
 import type { RewardCaller } from './reward-caller';
 import type { ModelId, ServingRoute } from './serving-config';
@@ -52,15 +53,6 @@
   readonly order: WorkOrder;
 }
 
-/** The work at an engine, for those who decide about its weights. */
-export interface EngineWork {
-  readonly runningOfModel: number;
-  /** Whether other engines have room for these streams. */
-  readonly canMove: boolean;
-  /** Whether the engine is slow at present or failed lately. */
-  readonly isPoor: boolean;
-}
-
 /** Places waiting items, follows their streams and writes their results. */
 export class WorkRunner {
   readonly #options: WorkRunnerOptions;
@@ -69,7 +61,7 @@
 
   readonly #waiting = new Set<ItemTask>();
 
-  readonly #runs = new Map<TargetId, Set<ItemRun>>();
+  readonly #board: EngineBoard;
 
   readonly #shelf = new Map<ItemId, ItemText>();
 
@@ -86,6 +78,7 @@
   /** @param options - the submissions, the engines and the decisions */
   constructor(options: WorkRunnerOptions) {
     this.#options = options;
+    this.#board = new EngineBoard(options.engines, options.config);
     options.book.onChanged((change) => this.#onChange(change));
   }
 
@@ -103,25 +96,14 @@
     return this.#tasks.size;
   }
 
-  /** Counts a model's streams at an engine. */
+  /** Describes a model's streams at an engine. */
   workAt(engine: TargetEntry, model: ModelId): EngineWork {
-    const runs = this.#runsOf(engine.id, model);
-    const least = Math.max(1, ...runs.map((run) => run.task.leastVersion));
-    const { engines } = this.#options;
-    const sound = engines.list(engine.service).filter((other) => !engines.isAvoided(other));
-    const views = sound.map((other) => this.#view(other, model));
-    const own = this.#view(engine, model);
-    const isSlowNow = own.isSpeedFresh && isSlow(own, findFastest(views));
-    const room = views
-      .filter((view) => view.id !== engine.id && !view.isLoading && view.version >= least)
-      .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
-    const isPoor = isSlowNow || engines.isAvoided(engine);
-    return { runningOfModel: runs.length, canMove: runs.length <= room, isPoor };
+    return this.#board.workAt(engine, model);
   }
 
   /** Moves a model's streams from an engine to others; they go on where they stopped. */
   moveAway(engine: TargetId, model: ModelId): void {
-    this.#runsOf(engine, model).forEach((run) => run.cancel());
+    this.#board.runsOf(engine, model).forEach((run) => run.cancel());
   }
 
   /** Starts to run all open items. */
@@ -247,52 +229,22 @@
     task.stop();
     this.#tasks.delete(taskKey(task.submission, task.spec.id));
     this.#waiting.delete(task);
-    this.#runs.forEach((runs) => {
-      [...runs].filter((run) => run.task === task).forEach((run) => run.cancel());
-    });
+    this.#board.runs.filter((run) => run.task === task).forEach((run) => run.cancel());
     this.#noticeIdle();
   }
 
   #tick(): void {
-    const runs = [...this.#runs.values()].flatMap((set) => [...set]);
-    runs.filter((run) => run.isSilent).forEach((run) => run.abandon());
-    if (this.#waiting.size === 0) this.#moveFromSlow(runs);
+    this.#board.runs.filter((run) => run.isSilent).forEach((run) => run.abandon());
+    if (this.#waiting.size === 0) this.#board.pickMisplaced().forEach((run) => run.cancel());
     if (this.#waiting.size > 0) this.schedule();
   }
 
-  /** Moves streams from slow engines to fast ones with room. */
-  #moveFromSlow(runs: readonly ItemRun[]): void {
-    const models = new Set(runs.map((run) => run.model));
-    models.forEach((model) => {
-      const ofModel = runs.filter((run) => run.model === model);
-      const views = this.#listEngines(ofModel[0]?.task).map((engine) => this.#view(engine, model));
-      const fastest = findFastest(views);
-      const slow = new Set(
-        views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh).map((view) => view.id),
-      );
-      let room = views
-        .filter((view) => !slow.has(view.id) && !view.isLoading)
-        .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
-      ofModel
-        .filter((run) => slow.has(run.engine.id))
-        .forEach((run) => {
-          if (room <= 0) return;
-          room -= 1;
-          run.cancel();
-        });
-    });
-  }
-
-  #runsOf(engine: TargetId, model: ModelId): ItemRun[] {
-    return [...(this.#runs.get(engine) ?? [])].filter((run) => run.model === model);
-  }
-
   #place(): void {
     if (!this.#isActive || this.#isDraining || this.#waiting.size === 0) return;
     const now = this.#options.clock.mono();
     const due = [...this.#waiting].filter((task) => task.isDue(now));
     const byModel = new Map<ModelId, ItemTask[]>();
-    const routed = due.filter((task) => this.#findItemRoute(task));
+    const routed = due.filter((task) => this.#board.findRoute(task));
     // The route of an item was withdrawn, so that it can never run.
     due.filter((task) => !routed.includes(task)).forEach((task) => this.#finish(task, 'dead'));
     this.#options.order.sort(routed).forEach((task) => {
@@ -303,37 +255,17 @@
   }
 
   #placeModel(model: ModelId, tasks: readonly ItemTask[]): void {
-    const engines = this.#listEngines(tasks[0]);
-    const views = engines.map((engine) => this.#view(engine, model));
+    const [first] = tasks;
+    const engines = first ? this.#board.listEngines(first) : [];
+    const views = engines.map((engine) => this.#board.view(engine, model));
     const placements = this.#options.placement.place(tasks, views);
     placements.forEach(({ item, engine: id }) => {
       const engine = engines.find((one) => one.id === id);
-      const route = this.#findItemRoute(item);
+      const route = this.#board.findRoute(item);
       if (engine && route) this.#run(item, engine, model, route);
     });
   }
 
-  #listEngines(task: ItemTask | undefined): TargetEntry[] {
-    const service = task && this.#findItemRoute(task)?.backends[0]?.service;
-    if (!service) return [];
-    const all = this.#options.engines.list(service);
-    const sound = all.filter((engine) => !this.#options.engines.isAvoided(engine));
-    return sound.length > 0 ? sound : all;
-  }
-
-  #view(engine: TargetEntry, model: ModelId): EngineView {
-    const { engines } = this.#options;
-    return {
-      id: engine.id,
-      running: this.#runs.get(engine.id)?.size ?? 0,
-      slots: engine.slots,
-      version: engines.versionOf(engine, model),
-      isLoading: engines.isLoading(engine, model),
-      msPerEvent: engines.msPerEvent(engine),
-      isSpeedFresh: engines.isSpeedFresh(engine),
-    };
-  }
-
   #run(task: ItemTask, engine: TargetEntry, model: ModelId, route: ServingRoute): void {
     const { clock, client, engines, logger, metrics } = this.#options;
     const { terms } = task.submission;
@@ -363,14 +295,12 @@
       },
       onEnd: (ended, outcome) => this.#onRunEnd(ended, outcome, route),
     });
-    const runs = this.#runs.get(engine.id) ?? new Set<ItemRun>();
-    this.#runs.set(engine.id, runs);
-    runs.add(run);
+    this.#board.add(run);
   }
 
   #onRunEnd(run: ItemRun, outcome: RunOutcome, route: ServingRoute): void {
     const { task, engine } = run;
-    this.#runs.get(engine.id)?.delete(run);
+    this.#board.remove(run);
     this.#options.metrics.count(`run.${outcome}`);
     this.schedule();
     if (task.isStopped) return;
@@ -420,10 +350,6 @@
     return this.#options.config.view?.findRoute(terms.host, terms.path);
   }
 
-  #findItemRoute(task: ItemTask): ServingRoute | undefined {
-    return this.#options.config.view?.findRoute(task.submission.terms.host, task.spec.path);
-  }
-
   #noticeIdle(): void {
     const running = [...this.#tasks.values()].some((task) => !this.#waiting.has(task));
     if (running) return;
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -43,7 +43,7 @@
   mayRun = true;
   const metrics = createMetrics();
   const random = new RandomSource(1);
-  const directory = new TargetDirectory({ clock, metrics });
+  const directory = new TargetDirectory({ clock });
   directory.take(createTarget('t1'));
   directory.take(createTarget('t2'));
   stats = new TargetStats(clock);
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -93,10 +93,7 @@
 ): ServingConfig {
   const service: ServingService = {
     name: SERVICE,
-    maxConnections: 100,
     models: [MODEL],
-    engineSlots: 8,
-    scale: undefined,
   };
   return {
     version: number as ServingVersion,
