--- /dev/null
+++ b/packages/gateway/test/work-runner.test.ts
@@ -0,0 +1,227 @@
+import {
+  ManualClock,
+  type Offset,
+  RandomSource,
+  type RecordId,
+  type TargetId,
+  type WallTime,
+  type ZoneId,
+} from '@hibiscushill/base';
+import { MemoryLog, type NewRecord } from '@hibiscushill/log';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import type { ItemSpec } from '../src/caller-port';
+import { ConfigBook } from '../src/config-book';
+import { TargetDirectory } from '../src/directory';
+import { Engines } from '../src/engines';
+import { ItemStore } from '../src/item-store';
+import { EvenPlacement } from '../src/placement';
+import { RequestForwarder } from '../src/request-forwarder';
+import { ResultWriter } from '../src/result-writer';
+import { RewardCaller } from '../src/reward-caller';
+import { SubmissionBook, type SubmissionId, type SubmissionTerms } from '../src/submission';
+import { FastestChooser } from '../src/target-chooser';
+import { TargetStats } from '../src/target-stats';
+import { TextStore } from '../src/text-store';
+import { createAccepted, createEnded, createHandover } from '../src/work-records';
+import { LongestFirst } from '../src/work-queue';
+import { WorkRunner } from '../src/work-runner';
+import {
+  MODEL,
+  ManualClient,
+  createConfig,
+  createItem,
+  createMetrics,
+  createRoute,
+  createTarget,
+  createTerms,
+  logger,
+  settle,
+  version,
+} from './support';
+
+const ID = 's1' as SubmissionId;
+
+let clock: ManualClock;
+let log: MemoryLog;
+let book: SubmissionBook;
+let client: ManualClient;
+let directory: TargetDirectory;
+let engines: Engines;
+let runner: WorkRunner;
+let texts: TextStore;
+let read: number;
+
+beforeEach(() => {
+  clock = new ManualClock(1_000);
+  log = new MemoryLog({ clock });
+  book = new SubmissionBook();
+  client = new ManualClient();
+  read = 0;
+  const metrics = createMetrics();
+  const config = new ConfigBook({ clock, metrics, withdrawnKeyMs: 5_000 });
+  config.take(createConfig(1, [createRoute({ kind: 'rollout', maxRuns: 3 })]));
+  directory = new TargetDirectory({ clock });
+  engines = new Engines(clock, directory);
+  texts = new TextStore(log);
+  const stats = new TargetStats(clock);
+  const random = new RandomSource(1);
+  const chooser = new FastestChooser({ stats, zone: 'zone-a' as ZoneId, random });
+  const shared = { clock, metrics, logger, config, book, client };
+  const forwarder = new RequestForwarder({
+    ...shared,
+    random,
+    directory,
+    stats,
+    chooser,
+    onRun: () => undefined,
+  });
+  runner = new WorkRunner({
+    ...shared,
+    items: new ItemStore(texts),
+    engines,
+    rewards: new RewardCaller({ ...shared, forwarder }),
+    writer: new ResultWriter({ ...shared, log, texts }),
+    placement: new EvenPlacement(),
+    order: new LongestFirst(),
+  });
+});
+
+afterEach(() => {
+  runner.stop();
+});
+
+async function append(record: NewRecord): Promise<void> {
+  await log.append('work', [record]);
+  await readLog();
+}
+
+async function readLog(): Promise<void> {
+  await settle();
+  const page = (await log.read('work', read as Offset))._unsafeUnwrap();
+  read = page.next;
+  page.records.forEach((record) => book.apply({ ...record, id: record.id }));
+  await settle();
+}
+
+async function submit(
+  items: readonly ItemSpec[],
+  terms: Partial<SubmissionTerms> = {},
+): Promise<void> {
+  const refs = (await texts.put([items], 1_000))._unsafeUnwrap();
+  const id = terms.id ?? ID;
+  await append(createAccepted({ terms: createTerms(id, items.length, terms), items: refs }));
+}
+
+function runningAt(target: string): string[] {
+  return client.open.filter((one) => one.call.target.id === target).map((one) => one.call.id);
+}
+
+describe('the runner of submissions', () => {
+  it('starts the longest items first and holds back what has no slot', async () => {
+    directory.take(createTarget('e1', { slots: 2 }));
+    runner.start();
+    await submit([
+      createItem('short', { expectedTokens: 10 }),
+      createItem('long', { expectedTokens: 900 }),
+      createItem('middle', { expectedTokens: 100 }),
+    ]);
+    expect(runningAt('e1')).toEqual(['long', 'middle']);
+    client.calls[0]?.stream(1, ['a']);
+    client.calls[0]?.sink.onEnd();
+    await readLog();
+    expect(runningAt('e1')).toContain('short');
+  });
+
+  it('goes on elsewhere after the last event when an engine keeps silent', async () => {
+    directory.take(createTarget('e1'));
+    runner.start();
+    await submit([createItem('i1')]);
+    client.calls[0]?.stream(1, ['a', 'b']);
+    directory.take(createTarget('e2'));
+    clock.advance(600);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 120);
+    });
+    expect(client.calls[0]?.isAborted).toBe(true);
+    expect(client.calls[1]?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
+    expect(client.calls[1]?.call.target.id).toBe('e2');
+    client.calls[1]?.stream(3, ['c']);
+    client.calls[1]?.sink.onEnd();
+    await readLog();
+    const [result] = book.find(ID)?.results ?? [];
+    expect(await texts.get(result?.text ? [result.text] : [])).toMatchObject({
+      value: ['a\nb\nc'],
+    });
+  });
+
+  it('makes a text anew when an event is of weights that are too old', async () => {
+    directory.take(createTarget('e1', { versions: new Map([[MODEL, version(2)]]) }));
+    runner.start();
+    await submit([createItem('i1')], { leastVersion: version(2) });
+    client.calls[0]?.stream(1, ['old'], { version: version(1) });
+    await settle();
+    expect(client.calls[0]?.isAborted).toBe(true);
+    expect(book.find(ID)?.results).toEqual([]);
+  });
+
+  it('stops an item at once when its submission is ended', async () => {
+    directory.take(createTarget('e1'));
+    runner.start();
+    await submit([createItem('i1')]);
+    await append(createEnded(ID));
+    expect(client.open).toHaveLength(0);
+    expect(runner.openItems).toBe(0);
+  });
+
+  it('takes a text up where an ended submission left it', async () => {
+    directory.take(createTarget('e1'));
+    runner.start();
+    await submit([createItem('i1')]);
+    client.calls[0]?.stream(1, ['a', 'b']);
+    await append(createEnded(ID));
+    await submit([createItem('i1')], { id: 's2' as SubmissionId });
+    expect(client.open[0]?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
+  });
+
+  it('leaves an item alone that a leaving process still runs', async () => {
+    directory.take(createTarget('e1'));
+    await submit([createItem('i1'), createItem('i2')]);
+    const held = [{ submission: ID, item: createItem('i1').id }];
+    await append(createHandover({ until: (clock.wall() + 500) as WallTime, items: held }));
+    runner.start();
+    await settle();
+    expect(runningAt('e1')).toEqual(['i2']);
+  });
+
+  it('gives an item up only after several engines have failed it', async () => {
+    ['e1', 'e2', 'e3'].forEach((id) => directory.take(createTarget(id)));
+    runner.start();
+    await submit([createItem('i1')]);
+    const failAt: TargetId[] = [];
+    for (let run = 0; run < 3; run += 1) {
+      const call = client.calls[run];
+      if (call) failAt.push(call.call.target.id);
+      expect(book.find(ID)?.results).toEqual([]);
+      call?.answer('', { status: 500 });
+      await readLog();
+    }
+    expect(new Set(failAt).size).toBe(3);
+    expect(book.find(ID)?.results).toMatchObject([{ state: 'dead' }]);
+  });
+
+  it('moves streams away from an engine that will load, and they go on elsewhere', async () => {
+    directory.take(createTarget('e1', { slots: 4 }));
+    runner.start();
+    await submit([createItem('i1')]);
+    client.calls[0]?.stream(1, ['a']);
+    const engine = createTarget('e1', { slots: 4 });
+    directory.take(createTarget('e2', { slots: 4 }));
+    expect(runner.workAt(engine, MODEL)).toMatchObject({ runningOfModel: 1, canMove: true });
+    engines.startLoading(engine, MODEL, 1_000);
+    runner.moveAway(engine.id, MODEL);
+    await settle();
+    expect(client.open.map((one) => one.call.target.id)).toEqual(['e2']);
+    expect(client.open[0]?.call.resumeAfter).toBe(1);
+  });
+});
