--- a/packages/gateway/test/work-runner.test.ts
+++ b/packages/gateway/test/work-runner.test.ts
@@ -2,7 +2,6 @@
   ManualClock,
   type Offset,
   RandomSource,
-  type RecordId,
   type TargetId,
   type WallTime,
   type ZoneId,
