--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,7 +47,7 @@
 
 const adapterRules = [
   {
-    files: ['platform/**/*.ts'],
+    files: ['platform/src/**/*.ts'],
     rules: {
       'no-restricted-imports': [
         'error',
