--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -1,12 +1,9 @@
-// Builds the program and the soak, and runs it: `npm run soak -- --seed 1 --runs 10 --seconds 10`.
+// Bundles the soak and runs it; `npm run soak` builds the program first: `npm run soak -- --seed 1 --runs 10 --seconds 10`.
 import { resolve } from 'node:path';
-import process from 'node:process';
 import { pathToFileURL } from 'node:url';
 
 import { build } from 'esbuild';
 
-import './build-platform.mjs';
-
 const outfile = resolve('dist', 'soak', 'main.mjs');
 
 await build({
