--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -85,7 +85,9 @@
       if (isKept) this.#keep(req.address, connection);
       else connection.client.destroy().catch(() => undefined);
     });
-    try {
+    // The library reports a request that it can't write inside this very call, in which the caller
+    // doesn't know its exchange yet.
+    handler.holdErrors(() => {
       connection.client.dispatch(
         {
           method: req.method,
@@ -96,9 +98,7 @@
         },
         handler,
       );
-    } catch (error) {
-      handler.onResponseError(undefined, error as Error);
-    }
+    });
     return () => handler.abort();
   }
 
@@ -178,6 +178,8 @@
 
   #isOver = false;
 
+  #isStarting = false;
+
   #isFramed = true;
 
   #closes = false;
@@ -192,6 +194,21 @@
     this.#fail('aborted');
   }
 
+  /**
+   * Starts the exchange, and reports what fails meanwhile in a later turn.
+   *
+   * @param start - hands the request to the library
+   */
+  holdErrors(start: () => void): void {
+    this.#isStarting = true;
+    try {
+      start();
+    } catch (error) {
+      this.onResponseError(undefined, error as Error);
+    }
+    this.#isStarting = false;
+  }
+
   onRequestStart(): void {
     this.#wasSent = true;
   }
@@ -232,6 +249,10 @@
 
   #fail(reason: string): void {
     if (this.#isOver) return;
+    if (this.#isStarting) {
+      setImmediate(() => this.#fail(reason));
+      return;
+    }
     this.#isOver = true;
     this.#settle(false);
     this.#sink.onError({ wasSent: this.#wasSent, reason });
--- /dev/null
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -0,0 +1,72 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { SystemClock } from '@hibiscushill/base';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { type ExchangeError, ExchangeSink, HttpExchanger } from '../src/http-exchange';
+import { createMetrics } from './support';
+
+class RecordingSink extends ExchangeSink {
+  readonly errors: ExchangeError[] = [];
+
+  status: number | undefined;
+
+  isWhole = false;
+
+  override onHead(status: number): void {
+    this.status = status;
+  }
+
+  override onData(): void {}
+
+  override onEnd(): void {
+    this.isWhole = true;
+  }
+
+  override onError(error: ExchangeError): void {
+    this.errors.push(error);
+  }
+}
+
+const server = createServer((_, res) => {
+  res.end('ok');
+});
+let address: string;
+let exchanger: HttpExchanger;
+
+beforeEach(async () => {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  exchanger = new HttpExchanger({ clock: new SystemClock(), metrics: createMetrics() });
+});
+
+afterEach(async () => {
+  exchanger.close();
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+});
+
+describe('a request that can not be written', () => {
+  const headers = ['X-Bad', 'one\ntwo'];
+
+  it('fails after the call that sends it has returned', async () => {
+    const sink = new RecordingSink();
+    exchanger.send({ address, method: 'GET', path: '/', headers }, sink);
+    expect(sink.errors).toEqual([]);
+    await expect.poll(() => sink.errors).toMatchObject([{ wasSent: false }]);
+    expect(sink.status).toBeUndefined();
+  });
+
+  it('fails once when it is aborted at once', async () => {
+    const sink = new RecordingSink();
+    exchanger.send({ address, method: 'GET', path: '/', headers }, sink)();
+    const next = new RecordingSink();
+    exchanger.send({ address, method: 'GET', path: '/', headers: [] }, next);
+    await expect.poll(() => next.isWhole).toBe(true);
+    expect(sink.errors).toEqual([{ wasSent: false, reason: 'aborted' }]);
+  });
+});
