Read the log on before calling a submission unknown

Cause: a process that had read the log to its end within the last 0.8 s answered 404 for a submission that another process had accepted meanwhile. A trainer that asks at another entry right after its 202 got 404, and its end of the submission was refused.

Ruled out: a shorter freshness; any bound above zero leaves the gap.

Change: an id that isn't known makes the tail read on first, without waiting for a long read; 503 with a time to come back where the log can't be read. A read that doesn't want to wait starts no timer.

Before: three of the four new cases fail (404 twice, 404 during an outage). After: all pass.

--- a/packages/gateway/src/submission-desk.ts
+++ b/packages/gateway/src/submission-desk.ts
@@ -41,7 +41,7 @@
 const RETRY_PAUSE_MS = 60;
 // How long an append without an answer is looked for in the log.
 const DOUBT_MS = 1_200;
-// A reader that is this fresh has read every submission that was confirmed a second ago.
+// A reader that is this fresh has read every result that was listed a second ago.
 const FRESH_MS = 800;
 const CATCH_UP_MS = 700;
 const ELSEWHERE_RETRY_MS = 40;
@@ -170,7 +170,8 @@
     team: TeamId | undefined,
   ): Promise<Outcome<Submission>> {
     const { book } = this.#options;
-    if (!book.find(id) && !(await this.#isFresh())) return refuse(this.#refuseStale());
+    // It may have been accepted a moment ago at another process.
+    if (!book.find(id) && !(await this.#catchUp())) return refuse(this.#refuseStale());
     const submission = book.find(id);
     if (!submission || submission.terms.team !== team) {
       return refuse(createAnswer('step_unknown', 'There is no such submission.'));
@@ -183,7 +184,11 @@
     const { clock, tail } = this.#options;
     const { caughtUpAt } = tail;
     if (caughtUpAt !== undefined && clock.mono() - caughtUpAt < FRESH_MS) return true;
-    return tail.catchUp(AbortSignal.timeout(CATCH_UP_MS));
+    return this.#catchUp();
+  }
+
+  #catchUp(): Promise<boolean> {
+    return this.#options.tail.catchUp(AbortSignal.timeout(CATCH_UP_MS));
   }
 
   async #createPage(submission: Submission, after: number): Promise<Outcome<ResultPage>> {
@@ -204,6 +209,7 @@
   }
 
   async #waitForResult(submission: Submission, after: number, waitMs: Millis): Promise<void> {
+    if (waitMs <= 0) return;
     const { id } = submission.terms;
     const stop = new AbortController();
     const wakers = this.#waiting.get(id) ?? new Set<() => void>();
--- /dev/null
+++ b/packages/gateway/test/submission-desk.test.ts
@@ -0,0 +1,140 @@
+import {
+  type Failure,
+  ManualClock,
+  type MonoTime,
+  type Offset,
+  RandomSource,
+  type RequestId,
+} from '@hibiscushill/base';
+import {
+  type LogPage,
+  LogTail,
+  MemoryLog,
+  type ReadOptions,
+  type StreamName,
+} from '@hibiscushill/log';
+import { ResultAsync, okAsync } from 'neverthrow';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import type { SubmissionCall } from '../src/caller-port';
+import { ConfigBook } from '../src/config-book';
+import { ItemStore } from '../src/item-store';
+import { SubmissionBook, type SubmissionId } from '../src/submission';
+import { SubmissionDesk } from '../src/submission-desk';
+import { TextStore } from '../src/text-store';
+import { TEAM, createItem, createMetrics, createRoute, logger, version } from './support';
+
+const ID = 's1' as SubmissionId;
+const CALL: SubmissionCall = { submission: ID, key: undefined };
+
+/** A log whose long reads hear of nothing new. */
+class DeafLog extends MemoryLog {
+  override read(
+    stream: StreamName,
+    from: Offset,
+    options: ReadOptions = {},
+  ): ResultAsync<LogPage, Failure> {
+    if (!options.waitMs) return super.read(stream, from, options);
+    return super.read(stream, from, { ...options, waitMs: 0 }).andThen((page) => {
+      if (page.records.length > 0) return okAsync(page);
+      const ended = new Promise<LogPage>((resolve) => {
+        options.signal?.addEventListener('abort', () => resolve(page));
+        if (options.signal?.aborted) resolve(page);
+      });
+      return ResultAsync.fromSafePromise(ended);
+    });
+  }
+}
+
+const clock = new ManualClock(1_000);
+let log: DeafLog;
+let tails: LogTail[];
+
+beforeEach(() => {
+  log = new DeafLog({ clock });
+  tails = [];
+});
+
+afterEach(async () => {
+  await Promise.all(tails.map((tail) => tail.stop()));
+});
+
+/** Makes the desk of a process that has just read the log to its end. */
+async function createDesk(): Promise<SubmissionDesk> {
+  const metrics = createMetrics();
+  const book = new SubmissionBook();
+  const tail = new LogTail({ log, clock, stream: 'work', random: new RandomSource(1) });
+  tail.subscribe((record) => book.apply(record));
+  tail.start();
+  await tail.catchUp();
+  tails.push(tail);
+  const texts = new TextStore(log);
+  return new SubmissionDesk({
+    clock,
+    metrics,
+    logger,
+    random: new RandomSource(1),
+    config: new ConfigBook({ clock, metrics, withdrawnKeyMs: 5_000 }),
+    log,
+    tail,
+    book,
+    texts,
+    items: new ItemStore(texts),
+  });
+}
+
+function submit(desk: SubmissionDesk): Promise<{ isOk: boolean }> {
+  const req = {
+    id: ID as string as RequestId,
+    method: 'POST',
+    host: 'a.example',
+    path: '/a/1',
+    target: '/a/1',
+    headers: [],
+    body: new Uint8Array(),
+    key: undefined,
+    deadlineAt: undefined,
+    receivedAt: 0 as MonoTime,
+    resumeAfter: undefined,
+  };
+  const spec = {
+    id: ID,
+    step: 1,
+    model: undefined,
+    leastVersion: version(1),
+    wantedGroups: undefined,
+    items: [createItem('i1')],
+  };
+  return desk.submit(req, spec, createRoute({ kind: 'rollout' }), TEAM);
+}
+
+describe('a submission that was accepted elsewhere a moment ago', () => {
+  it('is known at a process that has not heard of it yet', async () => {
+    const [here, there] = [await createDesk(), await createDesk()];
+    expect(await submit(here)).toEqual({ isOk: true, value: undefined });
+    const page = await there.readResults(CALL, TEAM, 0, 0);
+    expect(page).toMatchObject({ isOk: true, value: { total: 1, results: [] } });
+  });
+
+  it('is ended by a process that has not heard of it yet', async () => {
+    const [here, there] = [await createDesk(), await createDesk()];
+    await submit(here);
+    expect(await there.end(CALL, TEAM)).toMatchObject({ isOk: true });
+    expect(await here.readResults(CALL, TEAM, 0, 0)).toMatchObject({ isOk: true });
+  });
+
+  it('is unknown to other teams, and one that nobody handed in to all', async () => {
+    const desk = await createDesk();
+    const nobody = { isOk: false, answer: { code: 'step_unknown' } };
+    expect(await desk.readResults(CALL, TEAM, 0, 0)).toMatchObject(nobody);
+    await submit(desk);
+    expect(await desk.readResults(CALL, undefined, 0, 0)).toMatchObject(nobody);
+  });
+
+  it('is not called unknown while the log can not be read', async () => {
+    const desk = await createDesk();
+    log.setFaults({ outage: true });
+    const page = await desk.readResults(CALL, TEAM, 0, 0);
+    expect(page).toMatchObject({ isOk: false, answer: { code: 'config_stale', run: 'not-run' } });
+  });
+});
