--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -75,6 +75,9 @@
 const TICK_MS = 100;
 // Reads of the log wait this long for a record, and may take this much longer.
 const TAIL = { waitMs: 600, timeoutMs: 700 };
+// Every record would wake the reads of all processes; results may reach a waiting trainer so much
+// later, a small part of the seconds that a step takes.
+const FOLLOWER_GATHER_MS = 60;
 // For how long after the list of targets couldn't be read a missing entry may be a lapse.
 const OUTAGE_MS = 2_500;
 const STALE_LIST_MS = 2_000;
@@ -136,7 +139,15 @@
     this.#configTail = this.#follow(options.configLog, options.readConfig(this.#config));
     this.#targetTail = this.#follow(options.targetLog, options.readTargets(this.#directory));
     this.#dutyTail = new LogTail({ log, clock, random, metrics, ...TAIL, stream: 'usage' });
-    this.#workTail = new LogTail({ log, clock, random, metrics, ...TAIL, stream: 'work' });
+    this.#workTail = new LogTail({
+      log,
+      clock,
+      random,
+      metrics,
+      ...TAIL,
+      stream: 'work',
+      gatherMs: () => (this.#duty.isHeld ? 0 : FOLLOWER_GATHER_MS),
+    });
     this.#workTail.subscribe((record) => this.#book.apply(record));
     this.#duty = new ControlDuty({
       ...options,
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -26,6 +26,9 @@
 export { DetourClient } from './detour-client';
 export type { DetourOptions } from './detour-client';
 
+export { MeteredCaller } from './metered-caller';
+export type { MeteredOptions } from './metered-caller';
+
 export { LogRelay } from './relay';
 
 export { HttpLog } from './http-log';
--- a/packages/log/src/log-tail.ts
+++ b/packages/log/src/log-tail.ts
@@ -39,6 +39,11 @@
    * out, so that a slow log is still read.
    */
   readonly timeoutMs?: Millis;
+  /**
+   * How long new records are let gather after a page that held some, in milliseconds, so that a
+   * busy stream is read a batch at a time. Asked after each such page; none when left out.
+   */
+  readonly gatherMs?: () => Millis;
   /** How many of the newest ids are remembered to recognise a repeated record. */
   readonly knownIds?: number;
   readonly random?: RandomSource;
@@ -65,6 +70,8 @@
 
   readonly #leastTimeoutMs: Millis;
 
+  readonly #gatherMs: () => Millis;
+
   readonly #known: KnownIds;
 
   readonly #doubtful: KnownIds;
@@ -107,6 +114,7 @@
     this.#waitMs = options.waitMs ?? WAIT_MS;
     this.#leastTimeoutMs = options.timeoutMs ?? TIMEOUT_MS;
     this.#timeoutMs = this.#leastTimeoutMs;
+    this.#gatherMs = options.gatherMs ?? (() => 0);
     this.#known = new KnownIds(options.knownIds ?? KNOWN_IDS);
     this.#doubtful = new KnownIds(DOUBTFUL_IDS);
     this.#backoff = new Backoff(options.random ?? createRandomSource());
@@ -217,10 +225,17 @@
       const page = await this.#log.read(this.#stream, this.#next, options);
       if (page.isOk()) this.#take(page.value, sentAt);
       else await this.#recover(page.error);
-      if (page.isOk()) this.#adaptTimeout(this.#clock.mono() - sentAt - waitMs);
+      if (page.isErr()) continue;
+      this.#adaptTimeout(this.#clock.mono() - sentAt - waitMs);
+      if (page.value.records.length > 0 && reachesEnd(page.value)) await this.#gather();
     }
   }
 
+  async #gather(): Promise<void> {
+    const gatherMs = this.#gatherMs();
+    if (gatherMs > 0 && this.#hurried === 0) await this.#clock.sleep(gatherMs, this.#nudge.signal);
+  }
+
   // Twice what the last read took leaves room for a log that gets slower.
   #adaptTimeout(tookMs: Millis): void {
     this.#timeoutMs = Math.min(Math.max(2 * tookMs, this.#leastTimeoutMs), MOST_TIMEOUT_MS);
--- a/packages/log/test/log-tail.test.ts
+++ b/packages/log/test/log-tail.test.ts
@@ -61,6 +61,40 @@
     expect(tail.caughtUpAt).toBeDefined();
   });
 
+  it('lets records gather after a page that held some', async () => {
+    const { clock, random, log } = setUp();
+    const reads: number[] = [];
+    const read = log.read.bind(log);
+    log.read = (...args) => {
+      reads.push(clock.mono());
+      return read(...args);
+    };
+    const tail = new LogTail({ log, clock, random, stream: STREAM, gatherMs: () => 5_000 });
+    stops.push(() => tail.stop());
+    tail.start();
+    await vi.waitUntil(() => reads.length > 0);
+    await log.append(STREAM, [record('a')]);
+    await tail.waitFor('a' as RecordId);
+    const sentBefore = reads.length;
+    await log.append(STREAM, [record('b')]);
+    await log.append(STREAM, [record('c')]);
+    await tail.waitFor('c' as RecordId);
+    expect(reads.slice(sentBefore)).toHaveLength(1);
+    expect((reads[sentBefore] ?? 0) - (reads[sentBefore - 1] ?? 0)).toBeGreaterThanOrEqual(5_000);
+  });
+
+  it('reads on at once for a caller that wants to have read everything', async () => {
+    const { clock, random, log } = setUp();
+    const tail = new LogTail({ log, clock, random, stream: STREAM, gatherMs: () => Infinity });
+    stops.push(() => tail.stop());
+    tail.start();
+    await log.append(STREAM, [record('a')]);
+    await tail.waitFor('a' as RecordId);
+    await log.append(STREAM, [record('b')]);
+    expect(await tail.catchUp()).toBe(true);
+    expect(isSome(tail.find('b' as RecordId))).toBe(true);
+  });
+
   it('ignores a repeated id', async () => {
     const { log, tail, seen } = setUp();
     await log.append(STREAM, [record('a')]);
