Save unfinished texts, so that a new holder goes on where its predecessor stopped

Trainers ask a step after the one before, so that each lost second moves all later steps.

Ruled out: a shorter lease (it is 1.3 s, texts of up to 6 s were lost); keeping texts at the engines (they forget what isn't followed); texts in the stream `work` (every follower would read them).

Change: the holder appends what running items' texts have gained to the stream `progress` every 0.5 s, at most 100 KB; nobody reads it but a new holder, from the first note of an item that still ran. Parts carry a chain and a place, so that parts that come twice, late or after a gap add nothing. What was read goes onto the shelf of texts that later runs take up, under the same checks of versions as before.

A fault found on the way: the shelf knew texts by the item's id alone, so that a team whose item bore another team's id could have been given that team's text. It is now known by a fingerprint of team, host, model and the whole request.

--- a/packages/gateway/src/holder-work.ts
+++ b/packages/gateway/src/holder-work.ts
@@ -19,6 +19,7 @@
 import { Engines } from './engines';
 import type { ItemStore } from './item-store';
 import { EvenPlacement } from './placement';
+import { ProgressStore } from './progress-store';
 import type { RequestForwarder } from './request-forwarder';
 import { ResultWriter } from './result-writer';
 import { RewardCaller } from './reward-caller';
@@ -154,6 +155,7 @@
       engines,
       rewards: new RewardCaller({ ...this.#options, logger: createLog('gateway.reward') }),
       writer: this.#writer,
+      progress: new ProgressStore({ ...this.#options, logger: createLog('gateway.progress') }),
       placement: new EvenPlacement(),
       order: new LongestFirst(),
     });
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -5,6 +5,7 @@
 import type { WaitingItem } from './placement';
 import type { Submission } from './submission';
 import type { StreamEvent } from './target-port';
+import { type WorkFingerprint, createFingerprint } from './text-shelf';
 
 /** The text of an item, as far as it was made. */
 export interface ItemText {
@@ -28,6 +29,9 @@
 
   readonly isSingleVersion: boolean;
 
+  /** Equal for items of other submissions that ask the same. */
+  readonly fingerprint: WorkFingerprint;
+
   /** Engines that broke off or kept silent on this item. */
   readonly avoid = new Set<TargetId>();
 
@@ -45,6 +49,8 @@
 
   #versions: WeightVersion[] = [];
 
+  #generation = 0;
+
   #notBefore = -Infinity as MonoTime;
 
   /**
@@ -56,6 +62,7 @@
     this.submission = submission;
     this.spec = spec;
     this.isSingleVersion = isSingleVersion;
+    this.fingerprint = createFingerprint(submission.terms, spec);
   }
 
   /** Answers of 500 to its reward call. */
@@ -85,6 +92,11 @@
     return { events: this.#events, lastNumber: this.#lastNumber, versions: this.#versions };
   }
 
+  /** Counts the texts that were dropped. */
+  get generation(): number {
+    return this.#generation;
+  }
+
   /** Whether a stream has begun its text. */
   get isBegun(): boolean {
     return this.#events.length > 0;
@@ -140,6 +152,7 @@
 
   /** Drops the text, so that the next stream starts from the beginning. */
   restart(): void {
+    this.#generation += 1;
     this.#events = [];
     this.#lastNumber = undefined;
     this.#versions = [];
--- a/packages/gateway/src/work-runner.ts
+++ b/packages/gateway/src/work-runner.ts
@@ -16,13 +16,15 @@
 import type { Engines } from './engines';
 import type { ItemStore } from './item-store';
 import { ItemRun, type RunOutcome } from './item-run';
-import { ItemTask, type ItemText } from './item-task';
+import { ItemTask } from './item-task';
 import type { PlacementPolicy } from './placement';
+import type { ProgressStore } from './progress-store';
 import type { ResultWriter } from './result-writer';
 import type { RewardCaller } from './reward-caller';
 import type { ModelId, ServingRoute } from './serving-config';
 import type { BookChange, ItemId, Submission, SubmissionBook } from './submission';
 import type { TargetClient } from './target-port';
+import { TextShelf } from './text-shelf';
 import type { HandoverNote } from './work-records';
 import type { WorkOrder } from './work-queue';
 
@@ -34,8 +36,6 @@
 const REFUSED_PAUSE_MS = 60;
 // Items that could not be read are asked for again after this.
 const LOAD_RETRY_MS = 150;
-// Texts of ended submissions that may be taken up by a later one.
-const SHELF_TEXTS = 2_000;
 
 /** What a runner needs. */
 export interface WorkRunnerOptions {
@@ -49,6 +49,7 @@
   readonly client: TargetClient;
   readonly rewards: RewardCaller;
   readonly writer: ResultWriter;
+  readonly progress: ProgressStore;
   readonly placement: PlacementPolicy;
   readonly order: WorkOrder;
 }
@@ -63,7 +64,10 @@
 
   readonly #board: EngineBoard;
 
-  readonly #shelf = new Map<ItemId, ItemText>();
+  /** Texts of ended submissions, and of a predecessor's items. */
+  readonly #shelf = new TextShelf();
+
+  #recovered: Promise<void> = Promise.resolve();
 
   readonly #idle = new Set<() => void>();
 
@@ -111,6 +115,7 @@
     if (this.#isActive) return;
     this.#isActive = true;
     this.#isDraining = false;
+    this.#recovered = this.#recover();
     const open = this.#options.book.listOpen();
     open.forEach((submission) => {
       void this.#add(submission);
@@ -172,10 +177,15 @@
     this.schedule();
   }
 
+  async #recover(): Promise<void> {
+    const texts = await this.#options.progress.recover();
+    texts.forEach((text, work) => this.#shelf.put(work, text));
+  }
+
   async #add(submission: Submission): Promise<void> {
     const { clock, items, order, logger } = this.#options;
     while (this.#isActive && submission.isOpen) {
-      const loaded = await items.load(submission);
+      const [loaded] = await Promise.all([items.load(submission), this.#recovered]);
       if (loaded.isOk()) {
         if (!this.#isActive || !submission.isOpen) return;
         const route = this.#findRoute(submission);
@@ -196,9 +206,8 @@
     const key = taskKey(submission, spec.id);
     if (this.#tasks.has(key)) return;
     const task = new ItemTask(submission, spec, route?.isSingleVersion ?? false);
-    const text = this.#shelf.get(spec.id);
+    const text = this.#shelf.take(task.fingerprint);
     if (text) task.adopt(text);
-    this.#shelf.delete(spec.id);
     const heldMs = submission.heldUntil(spec.id) - this.#options.clock.wall();
     if (heldMs > 0) task.holdUntil(this.#options.clock, heldMs);
     this.#tasks.set(key, task);
@@ -209,17 +218,11 @@
     [...this.#tasks.values()]
       .filter((task) => task.submission === submission)
       .forEach((task) => {
-        if (task.isBegun) this.#keepText(task);
+        if (task.isBegun) this.#shelf.put(task.fingerprint, task.text);
         this.#drop(task);
       });
   }
 
-  #keepText(task: ItemTask): void {
-    const [oldest] = this.#shelf.keys();
-    if (this.#shelf.size >= SHELF_TEXTS && oldest !== undefined) this.#shelf.delete(oldest);
-    this.#shelf.set(task.spec.id, task.text);
-  }
-
   #dropItem(submission: Submission, item: ItemId): void {
     const task = this.#tasks.get(taskKey(submission, item));
     if (task) this.#drop(task);
@@ -234,6 +237,7 @@
   }
 
   #tick(): void {
+    this.#options.progress.save([...this.#tasks.values()]);
     this.#board.runs.filter((run) => run.isSilent).forEach((run) => run.abandon());
     if (this.#waiting.size === 0) this.#board.pickMisplaced().forEach((run) => run.cancel());
     if (this.#waiting.size > 0) this.schedule();
--- a/packages/gateway/test/work-runner.test.ts
+++ b/packages/gateway/test/work-runner.test.ts
@@ -3,6 +3,7 @@
   type Offset,
   RandomSource,
   type TargetId,
+  type TeamId,
   type WallTime,
   type ZoneId,
 } from '@hibiscushill/base';
@@ -15,6 +16,7 @@
 import { Engines } from '../src/engines';
 import { ItemStore } from '../src/item-store';
 import { EvenPlacement } from '../src/placement';
+import { ProgressStore } from '../src/progress-store';
 import { RequestForwarder } from '../src/request-forwarder';
 import { ResultWriter } from '../src/result-writer';
 import { RewardCaller } from '../src/reward-caller';
@@ -81,6 +83,7 @@
     engines,
     rewards: new RewardCaller({ ...shared, forwarder }),
     writer: new ResultWriter({ ...shared, log, texts }),
+    progress: new ProgressStore({ ...shared, log }),
     placement: new EvenPlacement(),
     order: new LongestFirst(),
   });
@@ -183,6 +186,33 @@
     expect(client.open[0]?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
   });
 
+  it('does not take up the text of another team whose item has the same id', async () => {
+    directory.take(createTarget('e1'));
+    runner.start();
+    await submit([createItem('i1')]);
+    client.open[0]?.stream(1, ['a', 'b']);
+    await append(createEnded(ID));
+    const team = 'team-b' as TeamId;
+    await submit([createItem('i1')], { id: 's2' as SubmissionId, team });
+    expect(client.open.at(-1)?.call).toMatchObject({ team, id: 'i1' });
+    expect(client.open.at(-1)?.call.resumeAfter).toBeUndefined();
+  });
+
+  it('goes on where a predecessor has saved its texts', async () => {
+    directory.take(createTarget('e1'));
+    runner.start();
+    await submit([createItem('i1')]);
+    client.open[0]?.stream(1, ['a', 'b', 'c', 'd', 'e', 'f', 'g']);
+    const countNotes = async (): Promise<number> =>
+      (await log.bounds('progress'))._unsafeUnwrap().next;
+    await expect.poll(countNotes).toBe(1);
+    runner.stop();
+    runner.start();
+    await settle();
+    expect(client.open).toHaveLength(1);
+    expect(client.open[0]?.call.resumeAfter).toBe(7);
+  });
+
   it('leaves an item alone that a leaving process still runs', async () => {
     directory.take(createTarget('e1'));
     await submit([createItem('i1'), createItem('i2')]);
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -3,7 +3,8 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 /** A named stream of the log. Each stream has its own offsets, dense and from zero. */
-export type StreamName = 'config' | 'targets' | 'texts' | 'usage' | 'work' | `trainer.${string}`;
+export type StreamName =
+  'config' | 'progress' | 'targets' | 'texts' | 'usage' | 'work' | `trainer.${string}`;
 
 /** What a process appends. */
 export interface NewRecord {
