Read the log again soon after an outage, and at once after gaining the duty

The tail of `work` was in a pause of up to 2 s after its failed reads, and a holder also waits for a read that began after its gain, which a long read delays by up to 0.6 s. With a silent log the time-out of the tail grows to 15 s: the new test saw 10.5 s until the first record after the log's return.

Ruled out: ending the pause whenever somebody wants to have read everything (each refused caller would cost a call in an outage).

Change: the gateway's tails pause 300 ms at most and let a time-out grow to 2 s; gaining the duty asks the tail to catch up.

Before: the silent case fails (10,500 ms against 3,100). After: both cases pass.

--- a/packages/gateway/src/holder-work.ts
+++ b/packages/gateway/src/holder-work.ts
@@ -99,6 +99,8 @@
 
   /** Takes note that the duty was gained. */
   onGained(): void {
+    // Work starts once the log was read after the gain; a long read must not hold it up.
+    void this.#options.workTail.catchUp();
     this.#usage.restart();
   }
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -73,8 +73,15 @@
 
 // How often the duty's holder looks for what is due.
 const TICK_MS = 100;
-// Reads of the log wait this long for a record, and may take this much longer.
-const TAIL = { waitMs: 600, timeoutMs: 700 };
+// Reads of the log wait this long for a record, and may take this much longer. Trainers wait for
+// what is read after an outage, so that it is noticed early that the log is back; a log that
+// answers fifty times as slowly as usual still takes under a second.
+const TAIL = {
+  waitMs: 600,
+  timeoutMs: 700,
+  mostTimeoutMs: 2_000,
+  backoff: { firstMs: 40, mostMs: 300 },
+};
 // Every record would wake the reads of all processes; results may reach a waiting trainer so much
 // later, a small part of the seconds that a step takes.
 const FOLLOWER_GATHER_MS = 60;
--- a/packages/log/src/log-tail.ts
+++ b/packages/log/src/log-tail.ts
@@ -14,7 +14,7 @@
 } from '@hibiscushill/base';
 import { type Option, isSome } from 'fp-ts/Option';
 
-import { Backoff } from './backoff';
+import { Backoff, type BackoffOptions } from './backoff';
 import { KnownIds } from './known-ids';
 import type { Log, LogPage, LogRecord, StreamName } from './log';
 
@@ -39,6 +39,10 @@
    * out, so that a slow log is still read.
    */
   readonly timeoutMs?: Millis;
+  /** How far that may grow, in milliseconds: a silent log is noticed as late as this. */
+  readonly mostTimeoutMs?: Millis;
+  /** How reads that failed are spaced. */
+  readonly backoff?: BackoffOptions;
   /**
    * How long new records are let gather after a page that held some, in milliseconds, so that a
    * busy stream is read a batch at a time. Asked after each such page; none when left out.
@@ -70,6 +74,8 @@
 
   readonly #leastTimeoutMs: Millis;
 
+  readonly #mostTimeoutMs: Millis;
+
   readonly #gatherMs: () => Millis;
 
   readonly #known: KnownIds;
@@ -113,11 +119,12 @@
     this.#clock = options.clock;
     this.#waitMs = options.waitMs ?? WAIT_MS;
     this.#leastTimeoutMs = options.timeoutMs ?? TIMEOUT_MS;
+    this.#mostTimeoutMs = options.mostTimeoutMs ?? MOST_TIMEOUT_MS;
     this.#timeoutMs = this.#leastTimeoutMs;
     this.#gatherMs = options.gatherMs ?? (() => 0);
     this.#known = new KnownIds(options.knownIds ?? KNOWN_IDS);
     this.#doubtful = new KnownIds(DOUBTFUL_IDS);
-    this.#backoff = new Backoff(options.random ?? createRandomSource());
+    this.#backoff = new Backoff(options.random ?? createRandomSource(), options.backoff);
     this.#metrics = options.metrics;
     this.#logger = createLogger(`log.tail.${options.stream}`);
     this.#next = options.from ?? (0 as Offset);
@@ -238,7 +245,7 @@
 
   // Twice what the last read took leaves room for a log that gets slower.
   #adaptTimeout(tookMs: Millis): void {
-    this.#timeoutMs = Math.min(Math.max(2 * tookMs, this.#leastTimeoutMs), MOST_TIMEOUT_MS);
+    this.#timeoutMs = Math.min(Math.max(2 * tookMs, this.#leastTimeoutMs), this.#mostTimeoutMs);
   }
 
   #take(page: LogPage, sentAt: MonoTime): void {
--- a/packages/log/test/log-tail.test.ts
+++ b/packages/log/test/log-tail.test.ts
@@ -1,5 +1,12 @@
-import { ManualClock, type Offset, RandomSource, type RecordId } from '@hibiscushill/base';
+import {
+  ManualClock,
+  type Offset,
+  RandomSource,
+  type RecordId,
+  createFailure,
+} from '@hibiscushill/base';
 import { isSome } from 'fp-ts/Option';
+import { ResultAsync, err } from 'neverthrow';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { type AppendEvent, LogTail, MemoryLog, type NewRecord, appendOnce } from '../src';
@@ -95,6 +102,43 @@
     expect(isSome(tail.find('b' as RecordId))).toBe(true);
   });
 
+  it.each([
+    ['refuses', 0, 300 + 200],
+    // A read that began before, with its wait and its time-out, and the pause after it.
+    ['keeps silent', 600 + 2_000, 600 + 2_000 + 300 + 200],
+  ])('reads on soon after a time in which the log %s', async (_, silentMs, mostMs) => {
+    const { clock, random, log } = setUp();
+    let isAway = true;
+    const read = log.read.bind(log);
+    log.read = (stream, from, options = {}) => {
+      if (!isAway) return read(stream, from, options);
+      const allowedMs = (options.waitMs ?? 0) + (options.timeoutMs ?? 0);
+      const run = silentMs > 0 ? 'may-have-run' : 'not-run';
+      const ended = clock
+        .sleep(silentMs > 0 ? allowedMs : 0)
+        .then(() => err(createFailure('platform_down', { detail: 'away', run })));
+      return new ResultAsync(ended);
+    };
+    const tail = new LogTail({
+      log,
+      clock,
+      random,
+      stream: STREAM,
+      waitMs: 600,
+      timeoutMs: 700,
+      mostTimeoutMs: 2_000,
+      backoff: { firstMs: 40, mostMs: 300 },
+    });
+    stops.push(() => tail.stop());
+    tail.start();
+    const endsAt = clock.mono() + 60_000;
+    await vi.waitUntil(() => clock.mono() > endsAt, { timeout: 10_000 });
+    isAway = false;
+    const backAt = clock.mono();
+    await tail.catchUp();
+    expect(clock.mono() - backAt).toBeLessThanOrEqual(mostMs);
+  });
+
   it('ignores a repeated id', async () => {
     const { log, tail, seen } = setUp();
     await log.append(STREAM, [record('a')]);
