End the waits of a request's earlier attempts

Cause: each attempt of a request began a wait for its deadline, for a second target and for its caller's leaving, and all of them lasted until the request was over.

Change: the waits that lose the race end with it.

Before: the new test finds 2 listeners after the first failure. After: 1, and none at the end.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -130,8 +130,6 @@
 
   readonly #tried = new Set<TargetId>();
 
-  readonly #over = new AbortController();
-
   // Sends after which the request may have run.
   #runs = 0;
 
@@ -160,7 +158,6 @@
         if (result) return result;
       }
     } finally {
-      this.#over.abort();
       this.#active.forEach((attempt) => attempt.cancel());
     }
   }
@@ -169,9 +166,11 @@
     return this.#req.endsAt - this.#options.clock.mono();
   }
 
-  #next(): Promise<Step> {
+  async #next(): Promise<Step> {
     const { clock } = this.#options;
-    const { signal } = this.#over;
+    // Ends the waits that lost the race, which otherwise pile up with each attempt.
+    const decided = new AbortController();
+    const { signal } = decided;
     const steps: Promise<Step>[] = [...this.#active].map((attempt) =>
       attempt.result.then((result) => ({ type: 'settled', attempt, result }) as const),
     );
@@ -182,7 +181,9 @@
       steps.push(clock.sleep(Math.max(0, waitMs), signal).then(() => ({ type: 'hedge' })));
     }
     steps.push(waitAborted(this.#req.signal, signal).then(() => ({ type: 'cancelled' })));
-    return Promise.race(steps);
+    const step = await Promise.race(steps);
+    decided.abort();
+    return step;
   }
 
   #mayHedge(): boolean {
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -1,3 +1,5 @@
+import { getEventListeners } from 'node:events';
+
 import {
   ManualClock,
   type MonoTime,
@@ -100,6 +102,18 @@
     expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('own') });
   });
 
+  it('waits for its caller once, however many targets it tries', async () => {
+    const { signal } = new AbortController();
+    const result = forward(createRoute({ maxRuns: 9 }), signal);
+    client.calls[0]?.fail({ run: 'not-run', reason: 'full' });
+    await settle();
+    expect(client.calls).toHaveLength(2);
+    expect(getEventListeners(signal, 'abort')).toHaveLength(1);
+    client.calls[1]?.answer('whole');
+    expect(await result).toMatchObject({ type: 'answered' });
+    expect(getEventListeners(signal, 'abort')).toHaveLength(0);
+  });
+
   it('goes to another target after a reset, and never to more than its route allows', async () => {
     const result = forward();
     client.calls[0]?.fail({ run: 'may-have-run', reason: 'reset' });
