Close usage windows sooner, so that an outage can't hide one

Cause: a window was closed 4.5 s after its end and is due 10 s after it.

Ruled out: closing once every process has written a mark (each of N processes would write, and all read, one more record a window); less than 2.8 s, since a request is counted only once its target has answered.

Change: 2.8 s. An outage of up to 7.2 s leaves time before or after it.

Before: the two cases of the new test whose outage begins 3 and 4 s after the end fail by 0.2 and 1.2 s. After: all pass, also the one with a count that comes two seconds late.

--- a/packages/gateway/src/usage-duty.ts
+++ b/packages/gateway/src/usage-duty.ts
@@ -9,9 +9,10 @@
 // A process that is killed loses what it counted since its last record.
 const FLUSH_MS = 150;
 const APPEND_TIMEOUT_MS = 1_000;
-// How long after its end a window is closed: processes that lost the log for a moment have written
-// their counts by then, and a report is due ten seconds after the end.
-const GRACE_MS = 4_500;
+// How long after its end a window is closed. A request is counted once its target has answered, two
+// seconds later at most, and a count that took a detour is on the log half a second after that. A
+// report is due ten seconds after the end, so that an outage of seven seconds can't hide a window.
+const GRACE_MS = 2_800;
 // Windows that a new holder reports again, since it can't know whether its predecessor did.
 const REPEATED_WINDOWS = 4;
 
--- /dev/null
+++ b/packages/gateway/test/usage-duty.test.ts
@@ -0,0 +1,93 @@
+import { type InstanceId, type IncarnationId, ManualClock, type Offset } from '@hibiscushill/base';
+import type { FencedSender } from '@hibiscushill/control';
+import { type LogPage, MemoryLog } from '@hibiscushill/log';
+import { ResultAsync, okAsync } from 'neverthrow';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { type TeamCounts, UsageSink } from '../src/control-port';
+import { UsageDuty } from '../src/usage-duty';
+import { OwnCounts, WindowCounts } from '../src/window-counts';
+import { TEAM, createMetrics, logger, pass, settle } from './support';
+
+const WINDOW_MS = 5_000;
+// The stated bound on reports.
+const DUE_MS = 10_000;
+
+class RecordingSink extends UsageSink {
+  readonly reports: { window: number; counts: TeamCounts; at: number }[] = [];
+
+  override report(window: number, counts: TeamCounts): ResultAsync<void, never> {
+    this.reports.push({ window, counts, at: clock.mono() });
+    return okAsync(undefined);
+  }
+}
+
+let clock: ManualClock;
+let log: MemoryLog;
+let counts: WindowCounts;
+let sink: RecordingSink;
+let duty: UsageDuty;
+let read: number;
+
+beforeEach(() => {
+  clock = new ManualClock(50_000);
+  log = new MemoryLog({ clock });
+  counts = new WindowCounts(WINDOW_MS);
+  sink = new RecordingSink();
+  read = 0;
+  // The lease can't be kept while the log is away.
+  const send = (order: (fencing: number, guard: object) => unknown): unknown =>
+    log.faults.outage ? okAsync(undefined) : order(1, {});
+  duty = new UsageDuty({
+    clock,
+    metrics: createMetrics(),
+    logger,
+    log,
+    counts,
+    own: new OwnCounts('p1' as IncarnationId),
+    sink,
+    sender: { send } as unknown as FencedSender,
+    holder: 'n1' as InstanceId,
+  });
+});
+
+function take(page: LogPage): void {
+  page.records.forEach((record) => counts.apply(record));
+  read = page.next;
+  duty.work();
+}
+
+async function work(ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 100) {
+    await pass(clock, 100, 100);
+    const page = await log.read('usage', read as Offset);
+    if (page.isOk()) take(page.value);
+    await settle();
+  }
+}
+
+describe('a usage window', () => {
+  it('holds what was counted until two seconds after its end', async () => {
+    await work(4_900);
+    const startedAt = clock.wall();
+    await work(2_000);
+    duty.count(TEAM, startedAt);
+    await work(8_000);
+    expect(sink.reports.find(({ window }) => window === 10)?.counts).toEqual({ [TEAM]: 1 });
+  });
+
+  it.each([0, 1_000, 2_000, 3_000, 4_000])(
+    'is reported in time though the log is away for seven seconds, from %d ms after its end',
+    async (afterMs) => {
+      duty.count(TEAM, clock.wall());
+      await work(WINDOW_MS + afterMs);
+      log.setFaults({ outage: true });
+      await work(7_000);
+      log.setFaults({ outage: false });
+      await work(3_000);
+      const report = sink.reports.find(({ window }) => window === 10);
+      expect(report?.counts).toEqual({ [TEAM]: 1 });
+      expect(report?.at).toBeLessThanOrEqual(55_000 + DUE_MS);
+    },
+  );
+});
