Save long texts in several notes

Found while reading: an addition above the size of a note was never saved, and, being the longest, kept all others from being saved as well.

Change: events that don't fit go with a later note, as long as one weight version made all of them; sizes are those of the encoded events.

Before: the new test finds no text of the short item. After: both texts are whole, no note above a record's size.

--- a/packages/gateway/src/progress-store.ts
+++ b/packages/gateway/src/progress-store.ts
@@ -31,6 +31,8 @@
 // Keeps the stream below 60 MB over the 300 s for which the log holds it, and a record below
 // 256 KiB.
 const MOST_NOTE_BYTES = 100_000;
+// What a part has around its events.
+const PART_BYTES = 250;
 // A new holder starts without the texts rather than later.
 const RECOVERY_MS = 600;
 const PAGE_BYTES = 1_000_000;
@@ -229,16 +231,44 @@
 
 /** Picks the longest additions, as many as one note holds. */
 function pickLongest(added: readonly AddedText[]): AddedText[] {
-  let bytes = 0;
+  let leftBytes = MOST_NOTE_BYTES;
   return added
     .filter(({ part }) => part.events.length >= LEAST_EVENTS)
     .sort((a, b) => b.part.events.length - a.part.events.length)
-    .filter(({ part }) => {
-      bytes += JSON.stringify(part).length;
-      return bytes <= MOST_NOTE_BYTES;
+    .flatMap(({ chain, part }) => {
+      const fitting = fitPart(part, leftBytes);
+      if (!fitting) return [];
+      leftBytes -= measurePart(fitting);
+      return [{ chain, part: fitting }];
     });
 }
 
+/** Leaves out the events that don't fit; they go with a later note. */
+function fitPart(part: ProgressPart, mostBytes: number): ProgressPart | undefined {
+  const { events, lastNumber, versions } = part;
+  let bytes = PART_BYTES;
+  const count = events.findIndex((event) => {
+    bytes += measureEvent(event);
+    return bytes > mostBytes;
+  });
+  if (count < 0) return part;
+  // Which of several versions made which event isn't known here.
+  if (count === 0 || versions.length > 1) return undefined;
+  return {
+    ...part,
+    events: events.slice(0, count),
+    lastNumber: lastNumber - (events.length - count),
+  };
+}
+
+function measurePart({ events }: ProgressPart): number {
+  return events.reduce((bytes, event) => bytes + measureEvent(event), PART_BYTES);
+}
+
+function measureEvent(event: string): number {
+  return Buffer.byteLength(JSON.stringify(event)) + 1;
+}
+
 /** Adds a part to its chain; parts that come twice, late or after a gap add nothing. */
 function addPart(chains: Map<WorkFingerprint, Chain>, part: ProgressPart): void {
   const { work, chain: id, from, events, lastNumber, versions } = part;
--- a/packages/gateway/test/progress-store.test.ts
+++ b/packages/gateway/test/progress-store.test.ts
@@ -126,6 +126,25 @@
     expect(texts.has(createFingerprint(SUBMISSION.terms, createItem('i0')))).toBe(false);
   });
 
+  it('that are longer than a record go with several notes, and hold up no others', async () => {
+    const store = createStore();
+    const large = new ItemTask(SUBMISSION, createItem('large'), false);
+    const events = Array.from({ length: 24 }, (_, index) => `${index} ${'\u0001'.repeat(2_500)}`);
+    events.forEach((data, index) => {
+      large.take({ number: index + 1, data, version: undefined }, version(1));
+    });
+    const small = createTask();
+    grow(small, 8);
+    for (let saves = 0; saves < 4; saves += 1) await save(store, [large, small]);
+    const page = (await log.read('progress', 0 as Offset))._unsafeUnwrap();
+    const sizes = page.records.map(({ payload }) => Buffer.byteLength(JSON.stringify(payload)));
+    expect(Math.max(...sizes)).toBeLessThan(262_144);
+    const texts = await recover();
+    expect(texts.get(WORK)?.events).toEqual(TEXT.slice(0, 8));
+    const work = createFingerprint(SUBMISSION.terms, createItem('large'));
+    expect(texts.get(work)).toEqual({ events, lastNumber: 24, versions: [1] });
+  });
+
   it('are whole though the answer to a save was lost', async () => {
     const store = createStore();
     const task = createTask();
