--- a/packages/fakes/src/cutter.ts
+++ b/packages/fakes/src/cutter.ts
@@ -1,13 +1,22 @@
-/** A TCP relay that cuts, silences or blocks the connections through it. */
+/** A TCP relay that cuts, silences, blocks or delays the connections through it. */
 import { type AddressInfo, type Server, type Socket, connect, createServer } from 'node:net';
+import { Transform } from 'node:stream';
 
 import fastify, { type FastifyInstance } from 'fastify';
 
+const BOTH_WAYS: readonly CutterWay[] = ['up', 'down'];
+
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
+  /** What `near` has sent, on its way to `far`. */
+  readonly up: Transform;
+  readonly down: Transform;
 }
 
+/** The way of bytes through the relay: `up` from whoever connects, `down` to it. */
+export type CutterWay = 'up' | 'down';
+
 /** Where a relay listens and what it forwards to. Addresses are `host:port`. */
 export interface CutterOptions {
   readonly listen?: string;
@@ -24,7 +33,9 @@
 
   readonly #silent = new Set<Pair>();
 
-  #isBlocked = false;
+  #blocked: readonly CutterWay[] = [];
+
+  #delayMs = 0;
 
   private constructor(target: string) {
     this.#target = parseAddress(target);
@@ -55,7 +66,11 @@
 
   /** How many connections pass bytes, and how many have gone silent. */
   get state(): { open: number; silent: number; isBlocked: boolean } {
-    return { open: this.#open.size, silent: this.#silent.size, isBlocked: this.#isBlocked };
+    return {
+      open: this.#open.size,
+      silent: this.#silent.size,
+      isBlocked: this.#blocked.length > 0,
+    };
   }
 
   /** Resets all connections. New ones work. */
@@ -66,23 +81,37 @@
   /** Makes the open connections pass nothing for good, without closing them. New ones work. */
   silence(): void {
     this.#open.forEach((pair) => {
-      pause(pair);
+      pause(pair, BOTH_WAYS);
       this.#silent.add(pair);
     });
     this.#open.clear();
   }
 
-  /** Makes the open connections and new ones pass nothing, until healed. */
-  block(): void {
-    this.#isBlocked = true;
-    this.#open.forEach(pause);
+  /**
+   * Makes the open connections and new ones pass nothing, until healed.
+   *
+   * @param ways - one way only, or both
+   */
+  block(ways: readonly CutterWay[] = BOTH_WAYS): void {
+    this.#blocked = [...new Set([...this.#blocked, ...ways])];
+    this.#open.forEach((pair) => pause(pair, ways));
+  }
+
+  /**
+   * Makes all bytes arrive late, until healed.
+   *
+   * @param delayMs - how late each piece comes after the one before, in milliseconds
+   */
+  delay(delayMs: number): void {
+    this.#delayMs = delayMs;
   }
 
-  /** Ends a block: what was held back passes. Silenced connections stay silent. */
+  /** Ends blocks and delays: what was held back passes. Silenced connections stay silent. */
   heal(): void {
-    if (!this.#isBlocked) return;
-    this.#isBlocked = false;
-    this.#open.forEach(resume);
+    this.#delayMs = 0;
+    const ways = this.#blocked;
+    this.#blocked = [];
+    this.#open.forEach((pair) => resume(pair, ways));
   }
 
   /** Resets all connections and stops. */
@@ -94,19 +123,29 @@
   }
 
   #relay(near: Socket): void {
-    const pair = { near, far: connect({ ...this.#target, allowHalfOpen: true }) };
+    const far = connect({ ...this.#target, allowHalfOpen: true });
+    const pair: Pair = { near, far, up: this.#createPassage(), down: this.#createPassage() };
     this.#open.add(pair);
     near.setNoDelay(true);
-    pair.far.setNoDelay(true);
-    near.pipe(pair.far);
-    pair.far.pipe(near);
-    [near, pair.far].forEach((socket) => {
+    far.setNoDelay(true);
+    near.pipe(pair.up).pipe(far);
+    far.pipe(pair.down).pipe(near);
+    [near, far].forEach((socket) => {
       socket.on('error', () => {
         if (!this.#silent.has(pair)) this.#reset(pair);
       });
       socket.once('close', () => this.#forget(pair, socket));
     });
-    if (this.#isBlocked) pause(pair);
+    pause(pair, this.#blocked);
+  }
+
+  #createPassage(): Transform {
+    return new Transform({
+      transform: (chunk, _encoding, pass) => {
+        if (this.#delayMs === 0) pass(null, chunk);
+        else setTimeout(() => pass(null, chunk), this.#delayMs);
+      },
+    });
   }
 
   // Where the connection has gone silent, the other end must not learn of the close.
@@ -154,14 +193,12 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
-function pause(pair: Pair): void {
-  pair.near.unpipe(pair.far);
-  pair.far.unpipe(pair.near);
-  pair.near.pause();
-  pair.far.pause();
+function pause({ near, far, up, down }: Pair, ways: readonly CutterWay[]): void {
+  if (ways.includes('up')) near.unpipe(up).pause();
+  if (ways.includes('down')) far.unpipe(down).pause();
 }
 
-function resume(pair: Pair): void {
-  pair.near.pipe(pair.far);
-  pair.far.pipe(pair.near);
+function resume({ near, far, up, down }: Pair, ways: readonly CutterWay[]): void {
+  if (ways.includes('up')) near.pipe(up);
+  if (ways.includes('down')) far.pipe(down);
 }
