--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -60,7 +60,7 @@
     });
   });
   const texts = Object.values(CTL_SETTINGS).map((setting) => setting.flag);
-  cli.parse([...argv], { string: [...texts, 'expect', '_'], boolean: ['json'] } as never);
+  cli.parse([...argv], { string: [...texts, 'expect', 'logs', '_'], boolean: ['json'] } as never);
   return call;
 }
 
--- a/packages/ctl/src/commands.ts
+++ b/packages/ctl/src/commands.ts
@@ -2,6 +2,7 @@
 import type { CommandContext } from './context';
 import { apply, findOutcome, plan, validate } from './declaration-commands';
 import { explain } from './explain-command';
+import { explainRequest } from './explain-request';
 import type { ExitName } from './exit-codes';
 import { createKeyCommand, withdrawKey } from './key-commands';
 import { type Report, createReport } from './report';
@@ -38,6 +39,11 @@
   doc: 'The version that has to be in force, such as the one that `plan` compared with.',
 };
 
+const LOGS: CommandOption = {
+  flag: 'logs',
+  doc: 'Saved output of processes: a file, or a directory of files.',
+};
+
 /** Every command. */
 export const COMMANDS: readonly Command[] = [
   {
@@ -104,11 +110,12 @@
     run: (context) => showUsage(context),
   },
   {
-    usage: 'explain <code>',
-    doc: 'Explains a result code by its number or name.',
-    options: [],
+    usage: 'explain <what>',
+    doc: 'Explains a result code by its number or name; with saved logs, what became of a request, a submission or an item by its id.',
+    options: [LOGS],
     exits: ['missing'],
-    run: (_, [code = '']) => Promise.resolve(explain(code)),
+    run: (_, [what = ''], { logs }) =>
+      logs === undefined ? Promise.resolve(explain(what)) : explainRequest(what, logs),
   },
 ];
 
--- /dev/null
+++ b/packages/ctl/test/explain-request.test.ts
@@ -0,0 +1,115 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { EXIT_CODES, runCli } from '../src';
+
+let folder: string;
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'hibiscus-logs-'));
+});
+
+afterEach(async () => {
+  await rm(folder, { recursive: true, force: true });
+});
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function createLine(time: number, sequence: number, message: string, fields: Fields = {}): string {
+  const context = { prefix: 'part', ...fields, logLevel: 30 };
+  return JSON.stringify({ context, message, sequence: `${sequence}`, time, version: '2.0.0' });
+}
+
+async function save(file: string, lines: readonly string[]): Promise<void> {
+  await writeFile(join(folder, file), lines.join('\n'));
+}
+
+async function run(...args: string[]): Promise<{ code: number; out: string; problem: string }> {
+  let out = '';
+  let problem = '';
+  const code = await runCli(['node', 'hibiscusctl', 'explain', ...args, '--logs', folder], {
+    env: {},
+    write: (text) => {
+      out += text;
+    },
+    writeError: (text) => {
+      problem += text;
+    },
+  });
+  return { code, out, problem };
+}
+
+describe('hibiscusctl explain with saved logs', () => {
+  it('tells why a request was refused, with what its process had lost before', async () => {
+    await save('n1.log', [
+      createLine(1_000, 0, '[log.keyed.keyed.op] Lost the log.', { code: 'platform_down' }),
+      createLine(5_800, 3, '[gateway.request] A request was refused.', {
+        id: 'r1',
+        code: 'config_stale',
+        run: 'not-run',
+        detail: 'The key was not confirmed lately.',
+        proofAgeMs: 4_600,
+        omittedLines: 2,
+      }),
+    ]);
+    await save('n2.log', [
+      createLine(5_000, 0, '[gateway.node] Started.'),
+      createLine(5_500, 1, '[control.duty.control] Gained the duty.', { fencing: 7 }),
+    ]);
+    expect(await run('r1')).toMatchSnapshot();
+  });
+
+  it('names the targets that brought a request no answer', async () => {
+    await save('n1.log', [
+      createLine(1_000, 0, '[gateway.request] An attempt brought no answer.', {
+        id: 'r1',
+        target: 't1',
+        ageMs: 250,
+        reason: 'silent',
+      }),
+      createLine(1_100, 1, '[gateway.request] A request was answered.', {
+        id: 'r1',
+        status: 200,
+        tookMs: 290,
+      }),
+    ]);
+    const { out } = await run('r1');
+    expect(out).toContain('Answered with 200 after 290 ms.');
+    expect(out).toContain('t1: silent after 250 ms');
+  });
+
+  it('names the item of a submission that was whole last', async () => {
+    const ended = (time: number, sequence: number, id: string, outcome: string): string =>
+      createLine(time, sequence, '[gateway.work] A run ended.', {
+        id,
+        target: 't1',
+        outcome,
+        events: 9,
+        tookMs: 400,
+      });
+    // Lines of several processes in one file, each after its process's name.
+    await save('all.txt', [
+      `12.5 n1 ${createLine(1_000, 0, '[gateway.submission] A submission was handed in.', { id: 's1' })}`,
+      `13.1 n2 ${ended(1_600, 4, 's1/i1', 'complete')}`,
+      `13.3 n2 ${ended(1_800, 5, 's1/i2', 'silent')}`,
+      `13.9 n2 ${ended(2_400, 6, 's1/i2', 'complete')}`,
+      'no line of a log',
+    ]);
+    const { out } = await run('s1');
+    expect(out).toContain('Whole last: s1/i2 at t1, 9 events in 400 ms.');
+    expect((await run('i1')).out).toContain('Runs: 1 complete.');
+    const { lines } = JSON.parse((await run('s1', '--json')).out) as { lines: unknown[] };
+    expect(lines).toHaveLength(4);
+  });
+
+  it('says when no line names the id, or the logs are not there', async () => {
+    await save('n1.log', [createLine(1_000, 0, '[gateway.node] Started.')]);
+    expect((await run('r9')).code).toBe(EXIT_CODES.missing.code);
+    expect((await run('r9')).problem).toContain('No line names r9 among 1 lines of 1 processes.');
+    await rm(folder, { recursive: true });
+    expect((await run('r9')).code).toBe(EXIT_CODES.missing.code);
+  });
+});
