Show when a log was regained, and share what was written twice

Found while reading the change: `hibiscusctl explain` looked for "Reached the log", a line that no process writes; the line is "Regained the log.". The test of a log that is lost and regained fails without the mend. The circumstances that concern all processes stood in two lists; the second is now part of the first.

The soak's script was a copy of the benches'; `scripts/bench.mjs` runs both.

--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -9,13 +9,8 @@
 const BEFORE_MS = 6_000;
 const AFTER_MS = 200;
 
-/** Lines that tell what a process believed or could reach. */
-const CIRCUMSTANCES = [
-  'Started.',
-  'Stops',
-  'Lost the log.',
-  'Reached the log',
-  'Reaches the log',
+/** Parts of lines about who runs submissions, which concern every process. */
+const DUTY_LINES = [
   'Gained the duty.',
   'Lost the duty.',
   'Runs submissions.',
@@ -23,8 +18,15 @@
   'Unfinished texts',
 ];
 
-/** Circumstances that concern every process: who runs submissions. */
-const SHARED = ['Gained the duty.', 'Lost the duty.', 'Runs submissions.', 'Unfinished texts'];
+/** Parts of lines about what one process could reach, and how long it ran. */
+const PROCESS_LINES = [
+  'Started.',
+  'Stops',
+  'Lost the log.',
+  'Regained the log.',
+  'The history was dropped',
+  'Reaches the log',
+];
 
 /**
  * Explains what became of a request, a submission or an item.
@@ -66,9 +68,8 @@
 }
 
 function isCircumstance({ process, message }: SavedLine, processes: readonly string[]): boolean {
-  const isNamed = (texts: readonly string[]): boolean =>
-    texts.some((text) => message.includes(text));
-  return isNamed(SHARED) || (processes.includes(process) && isNamed(CIRCUMSTANCES));
+  const lines = processes.includes(process) ? [...DUTY_LINES, ...PROCESS_LINES] : DUTY_LINES;
+  return lines.some((text) => message.includes(text));
 }
 
 function listProcesses(lines: readonly SavedLine[]): string[] {
--- a/packages/ctl/test/explain-request.test.ts
+++ b/packages/ctl/test/explain-request.test.ts
@@ -62,6 +62,17 @@
     expect(await run('r1')).toMatchSnapshot();
   });
 
+  it('shows when the log was lost, and when it was regained', async () => {
+    await save('n1.log', [
+      createLine(1_000, 0, '[log.keyed.keyed.op] Lost the log.'),
+      createLine(2_000, 1, '[log.keyed.keyed.op] Regained the log.'),
+      createLine(2_100, 2, '[gateway.request] A request was answered.', { id: 'r1', status: 200 }),
+    ]);
+    const { out } = await run('r1');
+    expect(out).toContain('Lost the log.');
+    expect(out).toContain('Regained the log.');
+  });
+
   it('names the targets that brought a request no answer', async () => {
     await save('n1.log', [
       createLine(1_000, 0, '[gateway.request] An attempt brought no answer.', {
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -1,4 +1,5 @@
 // Bundles a bench of a package and runs it: `node --expose-gc scripts/bench.mjs config/store`.
+// Other programs go by their path: `node scripts/bench.mjs platform/test/soak/main.ts`.
 import { resolve } from 'node:path';
 import process from 'node:process';
 import { pathToFileURL } from 'node:url';
@@ -7,10 +8,11 @@
 
 const [name, ...args] = process.argv.slice(2);
 const [part, file] = (name ?? '').split('/');
-const outfile = resolve('dist', 'bench', `${part}-${file}.mjs`);
+const entryPoint = name?.endsWith('.ts') ? name : `packages/${part}/bench/${file}.ts`;
+const outfile = resolve('dist', 'bench', `${entryPoint.replaceAll('/', '-')}.mjs`);
 
 await build({
-  entryPoints: [`packages/${part}/bench/${file}.ts`],
+  entryPoints: [entryPoint],
   outfile,
   bundle: true,
   platform: 'node',
