Fail a response without a length that a reset has cut

Cause: if data and a reset arrive before the same poll, libuv reports the end of the data in place of the reset, so the exchange, which told a reset by the socket's error event alone, took the part for the whole. Ruled out: that the library ends the message before the error event (no error event came at all) and that the end is orderly on the wire (the peer's address is gone only after a reset). The agent told no reset from an end at all.

--- a/packages/agent/src/target-client.ts
+++ b/packages/agent/src/target-client.ts
@@ -4,6 +4,8 @@
 import { ResultAsync } from 'neverthrow';
 import { type Dispatcher, Pool } from 'undici';
 
+import { TargetConnection } from './target-connection';
+
 /** A request to the target. */
 export interface TargetRequest {
   readonly method: string;
@@ -43,6 +45,7 @@
   constructor(options: TargetClientOptions) {
     const common = {
       connections: options.connections,
+      factory: (origin: URL, clientOptions: object) => new TargetConnection(origin, clientOptions),
       connect: { timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/fakes/src/fault-proxy.ts
+++ b/packages/fakes/src/fault-proxy.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, type Server, type Socket, connect, createServer } from 'node:net';
 import { Transform } from 'node:stream';
 
+import { onConnectionReset } from '@hibiscushill/base';
 import fastify, { type FastifyInstance } from 'fastify';
 
 const BOTH_DIRECTIONS: readonly ProxyDirection[] = ['up', 'down'];
@@ -141,14 +142,14 @@
     this.#open.add(connection);
     client.setNoDelay(true);
     upstream.setNoDelay(true);
-    client.pipe(connection.up).pipe(upstream);
-    upstream.pipe(connection.down).pipe(client);
     [client, upstream].forEach((socket) => {
-      socket.on('error', () => {
+      onConnectionReset(socket, () => {
         if (!this.#silent.has(connection)) this.#reset(connection);
       });
       socket.once('close', () => this.#onSocketClosed(connection, socket));
     });
+    client.pipe(connection.up).pipe(upstream);
+    upstream.pipe(connection.down).pipe(client);
     stopForwarding(connection, this.#blocked);
   }
 
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,5 +1,5 @@
 /** HTTP requests over pooled connections, of which each carries one request at a time. */
-import type { Clock, Metrics, Millis } from '@hibiscushill/base';
+import { type Clock, type Metrics, type Millis, onConnectionReset } from '@hibiscushill/base';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
 /** A request to send. */
@@ -147,9 +147,9 @@
           }
           metrics.count('target.connected');
           connection.wasReset = false;
-          // The library treats a reset like the end of a response without a length. This handler
-          // tells them apart, and is registered before the library's own.
-          socket.on('error', () => {
+          // The library treats a reset like the end of a response without a length, so this has to
+          // be registered before the library's own listeners.
+          onConnectionReset(socket, () => {
             connection.wasReset = true;
           });
           callback(null, socket);
--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -29,8 +29,18 @@
   }
 }
 
-const server = createServer((_, res) => {
-  res.end('ok');
+// A response that only the end of its connection delimits.
+const RESPONSE_START = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of';
+
+const server = createServer(({ url, socket }, res) => {
+  if (url === '/') {
+    res.end('ok');
+    return;
+  }
+  socket.write(RESPONSE_START);
+  if (url === '/reset') socket.resetAndDestroy();
+  else if (url === '/reset-later') setTimeout(() => socket.resetAndDestroy(), 20);
+  else socket.end();
 });
 let address: string;
 let exchanger: HttpExchanger;
@@ -70,3 +80,26 @@
     expect(sink.errors).toEqual([{ wasSent: false, reason: 'aborted' }]);
   });
 });
+
+describe('a response without a length', () => {
+  const send = (path: string): RecordingSink => {
+    const sink = new RecordingSink();
+    exchanger.send({ address, method: 'GET', path, headers: [] }, sink);
+    return sink;
+  };
+
+  it('is complete when its connection was closed normally', async () => {
+    const sink = send('/close');
+    await expect.poll(() => sink.isComplete).toBe(true);
+    expect(sink.errors).toEqual([]);
+  });
+
+  it.each([
+    ['in the same burst as its data', '/reset'],
+    ['after its data', '/reset-later'],
+  ])('fails when its connection was reset %s', async (_, path) => {
+    const sink = send(path);
+    await expect.poll(() => sink.isComplete || sink.errors.length > 0).toBe(true);
+    expect(sink).toMatchObject({ status: 200, isComplete: false, errors: [{ wasSent: true }] });
+  });
+});
