Hedge scoring calls late, so that bursts of them run once

The outputs of a step end together, so that the calls wait longer than that in the queues of the three plain targets, and a second copy of each lengthens these queues, also for callers' requests.

Change: a scoring call gets a second target after 300 ms.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -47,6 +47,8 @@
   readonly body: Uint8Array;
   readonly endsAt: MonoTime;
   readonly resumeAfter?: number;
+  /** How long the first target may take before a second one is tried; by default by the goal. */
+  readonly hedgeDelayMs?: Millis;
   /** Checked before each attempt; false once the request's key can no longer be trusted. */
   readonly mayRun: () => boolean;
   /** Aborted when the caller has closed its connection. */
@@ -195,6 +197,7 @@
   }
 
   #hedgeDelayMs(): Millis {
+    if (this.#req.hedgeDelayMs !== undefined) return this.#req.hedgeDelayMs;
     return Math.max(MIN_HEDGE_DELAY_MS, this.#req.route.goalMs * HEDGE_DELAY_GOAL_FRACTION);
   }
 
--- a/packages/gateway/src/reward-caller.ts
+++ b/packages/gateway/src/reward-caller.ts
@@ -10,6 +10,9 @@
 const REWARD_TIMEOUT_MS = 1_500;
 // Beyond those that the route allows, since some targets fail on every request.
 const EXTRA_SERVER_ERRORS = 2;
+// The outputs of a step end in bursts, so that scoring calls wait in the targets' queues. A second
+// copy of each would lengthen these queues, also for callers' requests.
+const HEDGE_DELAY_MS = 300;
 const RETRY_BASE_MS = 50;
 const RETRY_MAX_MS = 800;
 
@@ -72,6 +75,7 @@
       headers: [],
       body: Buffer.from(reward.body, 'base64'),
       endsAt: (clock.mono() + REWARD_TIMEOUT_MS) as MonoTime,
+      hedgeDelayMs: HEDGE_DELAY_MS,
       mayRun: () => !task.isStopped,
       signal: new AbortController().signal,
       onServerError: () => {
--- /dev/null
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -0,0 +1,144 @@
+import {
+  ManualClock,
+  type Millis,
+  RandomSource,
+  type RequestId,
+  type TargetId,
+  type ZoneId,
+} from '@hibiscushill/base';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { ConfigTracker } from '../src/config-tracker';
+import type { ItemTask } from '../src/item-task';
+import { RequestForwarder } from '../src/request-forwarder';
+import { RewardCaller, type RewardOutcome } from '../src/reward-caller';
+import { LowestLatencyChooser } from '../src/target-chooser';
+import { TargetDirectory } from '../src/target-directory';
+import {
+  type AbortCall,
+  type EventReader,
+  type TargetCall,
+  TargetClient,
+  type TargetResponseSink,
+} from '../src/target-port';
+import { TargetStats } from '../src/target-stats';
+import {
+  createConfig,
+  createHead,
+  createMetrics,
+  createRoute,
+  createTarget,
+  logger,
+  advance,
+  runPendingCallbacks,
+} from './support';
+
+// As the plain targets of cwmtawe-pod: three with six slots each, 32 ms a call.
+const SLOTS = 6;
+const RUN_MS: Millis = 32;
+
+/** Targets with a few slots each, which run one request after another in each slot. */
+class QueueingClient extends TargetClient {
+  readonly sent = new Map<TargetId, number>();
+
+  readonly #clock: ManualClock;
+
+  readonly #freeAt = new Map<TargetId, Millis[]>();
+
+  /** Targets that don't respond. */
+  readonly dark = new Set<TargetId>();
+
+  constructor(clock: ManualClock) {
+    super();
+    this.#clock = clock;
+  }
+
+  get total(): number {
+    return [...this.sent.values()].reduce((sum, count) => sum + count, 0);
+  }
+
+  override call({ target, id }: TargetCall, sink: TargetResponseSink): AbortCall {
+    this.sent.set(target.id, (this.sent.get(target.id) ?? 0) + 1);
+    let isAborted = false;
+    const slots = this.#freeAt.get(target.id) ?? Array.from({ length: SLOTS }, () => 0);
+    this.#freeAt.set(target.id, slots);
+    const slot = slots.indexOf(Math.min(...slots));
+    const endsAt = Math.max(this.#clock.mono(), slots[slot] ?? 0) + RUN_MS;
+    slots[slot] = endsAt;
+    if (this.dark.has(target.id)) return () => undefined;
+    void this.#clock.sleep(endsAt - this.#clock.mono()).then(() => {
+      if (isAborted) return;
+      sink.onHead(createHead(id, { load: { running: SLOTS, waiting: 0, slots: SLOTS } }));
+      sink.onEnd();
+    });
+    return () => {
+      isAborted = true;
+    };
+  }
+
+  override createEventReader(): EventReader {
+    throw new Error('scoring calls have no event streams');
+  }
+}
+
+let clock: ManualClock;
+let client: QueueingClient;
+let rewards: RewardCaller;
+
+beforeEach(() => {
+  clock = new ManualClock(1_000);
+  client = new QueueingClient(clock);
+  const metrics = createMetrics();
+  const random = new RandomSource(1);
+  const config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: 5_000 });
+  const route = createRoute({ goalMs: 157, timeoutMs: 1_500 });
+  config.updateConfig(createConfig(1, [route]));
+  const directory = new TargetDirectory({ clock });
+  const stats = new TargetStats(clock);
+  const targets = ['t1', 't2', 't3'].map((id) => createTarget(id, { slots: SLOTS }));
+  targets.forEach((target) => directory.recordRegistration(target));
+  stats.setTargets(targets.map(({ id }) => id));
+  const chooser = new LowestLatencyChooser({ stats, zone: 'zone-a' as ZoneId, random });
+  const forwarder = new RequestForwarder({
+    clock,
+    random,
+    metrics,
+    logger,
+    client,
+    directory,
+    stats,
+    chooser,
+    onRun: () => undefined,
+  });
+  rewards = new RewardCaller({ clock, logger, config, forwarder });
+});
+
+function score(index: number): Promise<RewardOutcome> {
+  const task = { isStopped: false, rewardErrors: 0, countRewardError: () => undefined };
+  return rewards.call(task as unknown as ItemTask, {
+    id: `score-${index}` as RequestId,
+    host: 'a.example',
+    path: '/a/score',
+    body: '',
+  });
+}
+
+describe('scoring calls', () => {
+  it('are sent once each when the outputs of a step end together', async () => {
+    const calls = 120;
+    const outcomes = Promise.all(Array.from({ length: calls }, (_, index) => score(index)));
+    await runPendingCallbacks();
+    await advance(clock, 600);
+    expect((await outcomes).every(({ type }) => type === 'scored')).toBe(true);
+    expect(client.total).toBe(calls);
+  });
+
+  it('go to another target when the first does not respond', async () => {
+    client.dark.add('t1' as TargetId);
+    client.dark.add('t2' as TargetId);
+    const outcome = score(1);
+    await runPendingCallbacks();
+    await advance(clock, 3_000);
+    expect(await outcome).toMatchObject({ type: 'scored' });
+  });
+});
