Keep followers of a cancelled attempt, and count no bytes of dropped responses

Cause: cancelling the first attempt of an idempotency key aborted its request, which ended every later request of that key as cancelled. Chunks that arrived after an attempt was removed were added to the stored bytes and never taken off, so that after some time every new request was refused as store_full.

Change: cancel ends only the response to the attempt's own entry while others follow it, and aborts the request with the last of them; the deadline still aborts it for all. A dropped response stores nothing more, and a response that nobody reads waits for no credit.

--- a/packages/agent/src/attempt-executor.ts
+++ b/packages/agent/src/attempt-executor.ts
@@ -75,7 +75,7 @@
    */
   async run(attempt: Attempt): Promise<void> {
     const timer = setTimeout(
-      () => attempt.cancel(),
+      () => attempt.abort(),
       Math.max(0, attempt.deadline - this.#clock.mono()),
     );
     try {
--- a/packages/agent/src/attempt.ts
+++ b/packages/agent/src/attempt.ts
@@ -1,5 +1,5 @@
 /** An attempt at the agent: its state, and its response until the entry has acknowledged it. */
-import type { AttemptId, MonoTime } from '@hibiscushill/base';
+import { type AttemptId, type MonoTime, RESULT_CODES } from '@hibiscushill/base';
 import type { End, Header, LinkSession, NotRun, Run } from '@hibiscushill/protocol';
 
 /** The state of an attempt. `finished` and `refused` are final. */
@@ -17,6 +17,15 @@
 
 type EndFields = Omit<End, 'attempt'>;
 
+const CANCELLED_END: EndFields = {
+  digest: '',
+  tokens: 0,
+  segments: [],
+  code: RESULT_CODES.cancelled.code,
+  detail: '',
+  count: 0,
+};
+
 /** An attempt and the frames of its response, which are sent again after a reconnect. */
 export class Attempt {
   readonly id: AttemptId;
@@ -58,7 +67,14 @@
 
   #notifyCredit: (() => void) | undefined;
 
-  readonly #followers: Attempt[] = [];
+  readonly #followers = new Set<Attempt>();
+
+  // The attempt whose response this one follows.
+  #leader: Attempt | undefined;
+
+  #isCancelled = false;
+
+  #isResponseDropped = false;
 
   readonly #onStoredBytesChanged: (bytes: number) => void;
 
@@ -165,8 +181,27 @@
     this.#body = [];
   }
 
-  /** Aborts the request to the target. */
+  /**
+   * Ends the response to this attempt's entry. The request to the target is aborted unless another
+   * attempt follows its response.
+   */
   cancel(): void {
+    if (this.#isCancelled || this.isDone) return;
+    this.#isCancelled = true;
+    if (this.#leader) {
+      this.finish(CANCELLED_END);
+      this.#leader.#removeFollower(this);
+    } else if (this.#followers.size > 0) {
+      this.#session?.send({ $case: 'end', value: { attempt: this.id, ...CANCELLED_END } });
+      this.#session = undefined;
+      this.#notifyCredit?.();
+    } else {
+      this.abort();
+    }
+  }
+
+  /** Aborts the request to the target, also for attempts that follow its response. */
+  abort(): void {
     this.#cancelController.abort();
     this.#notifyCredit?.();
   }
@@ -191,8 +226,10 @@
   addChunk(data: Buffer): void {
     const chunk = { seq: this.#nextSeq, data };
     this.#nextSeq += 1;
-    this.#chunks.push(chunk);
-    this.#addStoredBytes(data.length);
+    if (!this.#isResponseDropped) {
+      this.#chunks.push(chunk);
+      this.#addStoredBytes(data.length);
+    }
     this.#unconsumedBytes += data.length;
     this.#session?.send({ $case: 'chunk', value: { attempt: this.id, ...chunk } });
     this.#followers.forEach((follower) => follower.addChunk(data));
@@ -218,7 +255,8 @@
    * @param follower - an attempt of the same request, which does not run itself
    */
   addFollower(follower: Attempt): void {
-    this.#followers.push(follower);
+    this.#followers.add(follower);
+    follower.#follow(this);
     follower.markRunning();
     if (this.#refusal) follower.refuse(this.#refusal);
     if (this.#head) follower.addHead(this.#head.status, this.#head.headers);
@@ -226,9 +264,9 @@
     if (this.#end) follower.finish(this.#end);
   }
 
-  /** Waits until the entry has credit for more of the response, or the attempt is cancelled. */
+  /** Waits until the entry has credit for more of the response, or needs no more of it. */
   async waitForCredit(): Promise<void> {
-    while (this.#unconsumedBytes >= this.#windowBytes && !this.signal.aborted) {
+    while (this.#unconsumedBytes >= this.#windowBytes && !this.#hasNoReader) {
       await new Promise<void>((resolve) => {
         this.#notifyCredit = resolve;
       });
@@ -268,12 +306,27 @@
     if (this.#session === session) this.#session = undefined;
   }
 
-  /** Drops the stored response. */
+  /** Drops the stored response, and stores no more of it. */
   dropResponse(): void {
+    this.#isResponseDropped = true;
+    this.#notifyCredit?.();
     this.#chunks = [];
     this.#addStoredBytes(-this.#storedBytes);
   }
 
+  get #hasNoReader(): boolean {
+    return this.signal.aborted || this.#isCancelled || this.#isResponseDropped;
+  }
+
+  #follow(leader: Attempt): void {
+    this.#leader = leader;
+  }
+
+  #removeFollower(follower: Attempt): void {
+    this.#followers.delete(follower);
+    if (this.#isCancelled && this.#followers.size === 0) this.abort();
+  }
+
   #resend(session: LinkSession, fromSeq: number): void {
     const attempt = this.id;
     const rest = this.#chunks.filter((chunk) => chunk.seq >= fromSeq);
--- a/packages/agent/test/attempt-registry.test.ts
+++ b/packages/agent/test/attempt-registry.test.ts
@@ -1,4 +1,4 @@
-import { type AttemptId, ManualClock, type MonoTime } from '@hibiscushill/base';
+import { type AttemptId, ManualClock, type MonoTime, RESULT_CODES } from '@hibiscushill/base';
 import type { LinkSession, Run, AgentFramePayload } from '@hibiscushill/protocol';
 import { describe, expect, it } from 'vitest';
 
@@ -6,6 +6,8 @@
 import { AttemptRegistry } from '../src/attempt-registry';
 import { RUN } from './support';
 
+const CANCELLED_END = { $case: 'end', value: { code: RESULT_CODES.cancelled.code } };
+
 const END = { digest: 'd', tokens: 0, segments: [], code: 0, detail: '' };
 
 function createSession(): { session: LinkSession; frames: AgentFramePayload[] } {
@@ -66,6 +68,58 @@
   });
 });
 
+describe('cancelling an attempt whose response others follow', () => {
+  it('leaves the request running for them, and tells its own entry the end', () => {
+    const { attempt, frames } = createAttempt({ idempotencyKey: 'k' });
+    const follower = createAttempt({ attempt: 'a2', idempotencyKey: 'k' });
+    attempt.markRunning();
+    attempt.addFollower(follower.attempt);
+    attempt.cancel();
+    expect(attempt.signal.aborted).toBe(false);
+    attempt.addHead(200, []);
+    attempt.addChunk(Buffer.from('one'));
+    attempt.finish(END);
+    expect(follower.frames.map((frame) => frame.$case)).toEqual(['head', 'chunk', 'end']);
+    expect(frames).toMatchObject([CANCELLED_END]);
+  });
+
+  it('does not make them wait for credit that its caller no longer gives', async () => {
+    const { attempt } = createAttempt({ idempotencyKey: 'k' });
+    attempt.markRunning();
+    attempt.addFollower(createAttempt({ attempt: 'a2' }).attempt);
+    attempt.addChunk(Buffer.alloc(RUN.creditBytes));
+    const credit = attempt.waitForCredit();
+    attempt.cancel();
+    await expect(credit).resolves.toBeUndefined();
+    attempt.addChunk(Buffer.alloc(RUN.creditBytes));
+    await expect(attempt.waitForCredit()).resolves.toBeUndefined();
+  });
+
+  it('ends the request once none of them is left', () => {
+    const { attempt } = createAttempt({ idempotencyKey: 'k' });
+    const followers = ['a2', 'a3'].map((id) => createAttempt({ attempt: id }).attempt);
+    attempt.markRunning();
+    followers.forEach((follower) => attempt.addFollower(follower));
+    attempt.cancel();
+    followers[0]?.cancel();
+    expect(attempt.signal.aborted).toBe(false);
+    followers[1]?.cancel();
+    expect(attempt.signal.aborted).toBe(true);
+  });
+
+  it('ends only the response of a follower that is cancelled', () => {
+    const { attempt, frames } = createAttempt({ idempotencyKey: 'k' });
+    const follower = createAttempt({ attempt: 'a2' });
+    attempt.markRunning();
+    attempt.addFollower(follower.attempt);
+    follower.attempt.cancel();
+    attempt.addChunk(Buffer.from('one'));
+    expect(attempt.signal.aborted).toBe(false);
+    expect(frames.map((frame) => frame.$case)).toEqual(['chunk']);
+    expect(follower.frames).toMatchObject([CANCELLED_END]);
+  });
+});
+
 describe('AttemptRegistry', () => {
   it('keeps a tombstone that says whether a settled attempt ran', () => {
     const registry = new AttemptRegistry({ clock: new ManualClock() });
@@ -101,4 +155,19 @@
     registry.settle(attempt);
     expect(registry.hasRoom()).toBe(true);
   });
+
+  it('has room for as much as before once responses went on after their attempts were removed', () => {
+    const registry = new AttemptRegistry({ clock: new ManualClock(), maxStoredBytes: 4 });
+    for (let index = 0; index < 10; index += 1) {
+      const { attempt } = createAttempt({ attempt: `a${index}` }, (bytes) =>
+        registry.addStoredBytes(bytes),
+      );
+      registry.add(attempt);
+      attempt.markRunning();
+      registry.settle(attempt);
+      attempt.addChunk(Buffer.from('1'));
+      attempt.finish(END);
+    }
+    expect(registry.hasRoom()).toBe(true);
+  });
 });
