Place items and plan weights in time that does not grow with engines squared

Cause: for each tick and model, the summary of the runs at one engine described and filtered all engines; for each waiting item the placement filtered and sorted all engines; each finished item scanned all runs.

Same decisions: fast-check compares them with plain versions.

--- /dev/null
+++ b/packages/gateway/src/engine-view.ts
@@ -0,0 +1,42 @@
+/** What the placement of items knows of items and engines. */
+import type { Millis, TargetId, WeightVersion } from '@hibiscushill/base';
+
+/** What placement knows of an engine. */
+export interface EngineView {
+  readonly id: TargetId;
+  readonly running: number;
+  readonly slots: number;
+  readonly version: WeightVersion;
+  /** Whether its weights are being changed, so that it refuses new runs. */
+  readonly isLoading: boolean;
+  /** The average time between two events of a stream; undefined if unknown. */
+  readonly msPerEvent: Millis | undefined;
+  /** Whether this time was measured recently; an older one may no longer hold. */
+  readonly isSpeedFresh: boolean;
+}
+
+/** An item that waits for an engine. */
+export interface WaitingItem {
+  /** Items of a group share the beginning of their prompt. */
+  readonly group: string;
+  readonly leastVersion: WeightVersion;
+  /** The only version that may go on with the item's output; undefined for any. */
+  readonly requiredVersion: WeightVersion | undefined;
+  /** Engines on which the item failed before; used only if no other can run it. */
+  readonly avoidedEngines: ReadonlySet<TargetId>;
+}
+
+/** An engine's view whose load changes as items are placed. */
+export type MutableEngineView = { -readonly [K in keyof EngineView]: EngineView[K] };
+
+/** Whether an engine has a free slot and a version that suits the item. */
+export function canRun(item: WaitingItem, engine: EngineView): boolean {
+  if (engine.isLoading || engine.running >= engine.slots) return false;
+  if (item.requiredVersion !== undefined) return engine.version === item.requiredVersion;
+  return engine.version >= item.leastVersion;
+}
+
+/** Estimates how slow a further item would be at an engine; lower is better. */
+export function estimateLoad({ running, slots, msPerEvent = 1 }: EngineView): number {
+  return ((running + 1) / slots) * (Number.isFinite(msPerEvent) ? msPerEvent : 1);
+}
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -2,7 +2,7 @@
 import type { Clock, MonoTime, TargetId, WeightVersion } from '@hibiscushill/base';
 
 import type { ItemSpec } from './caller-port';
-import type { WaitingItem } from './placement';
+import type { WaitingItem } from './engine-view';
 import type { Submission } from './submission';
 import type { StreamEvent } from './target-port';
 import { type ItemFingerprint, createFingerprint } from './partial-output-cache';
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,30 +1,8 @@
 /** The policy for which waiting item starts at which engine. */
-import type { Millis, TargetId, WeightVersion } from '@hibiscushill/base';
+import type { Millis, TargetId } from '@hibiscushill/base';
 
-/** What placement knows of an engine. */
-export interface EngineView {
-  readonly id: TargetId;
-  readonly running: number;
-  readonly slots: number;
-  readonly version: WeightVersion;
-  /** Whether its weights are being changed, so that it refuses new runs. */
-  readonly isLoading: boolean;
-  /** The average time between two events of a stream; undefined if unknown. */
-  readonly msPerEvent: Millis | undefined;
-  /** Whether this time was measured recently; an older one may no longer hold. */
-  readonly isSpeedFresh: boolean;
-}
-
-/** An item that waits for an engine. */
-export interface WaitingItem {
-  /** Items of a group share the beginning of their prompt. */
-  readonly group: string;
-  readonly leastVersion: WeightVersion;
-  /** The only version that may go on with the item's output; undefined for any. */
-  readonly requiredVersion: WeightVersion | undefined;
-  /** Engines on which the item failed before; used only if no other can run it. */
-  readonly avoidedEngines: ReadonlySet<TargetId>;
-}
+import { EngineIndex } from './engine-index';
+import type { EngineView, MutableEngineView, WaitingItem } from './engine-view';
 
 /** An item and the engine at which it should start. */
 export interface Placement<T extends WaitingItem> {
@@ -47,8 +25,6 @@
   ): Placement<T>[];
 }
 
-type MutableEngineView = { -readonly [K in keyof EngineView]: EngineView[K] };
-
 // An engine this many times slower than the fastest isn't used: it is quicker to wait.
 const SLOW_ENGINE_RATIO = 1.7;
 // An engine whose last known speed was slow gets this many items, to measure how fast it is now.
@@ -70,17 +46,16 @@
     items: readonly T[],
     engines: readonly EngineView[],
   ): Placement<T>[] {
-    const fastest = findFastest(engines);
-    const views = engines.map((engine) => applyProbeLimit({ ...engine }, fastest));
-    const usable = listEligible(items.length, views, fastest);
+    const usable = new EngineIndex(listEligible(items.length, engines));
     const placements: Placement<T>[] = [];
-    items.forEach((item) => {
-      const engine = this.#choose(item, usable);
-      if (!engine) return;
-      engine.running += 1;
-      this.#engineByGroup.set(item.group, engine.id);
-      placements.push({ item, engine: engine.id });
-    });
+    for (const item of items) {
+      if (usable.isFull) break;
+      const engine = usable.take(item, this.#engineByGroup.get(item.group));
+      if (engine) {
+        this.#engineByGroup.set(item.group, engine.id);
+        placements.push({ item, engine: engine.id });
+      }
+    }
     return placements;
   }
 
@@ -88,16 +63,6 @@
   forgetGroup(group: string): void {
     this.#engineByGroup.delete(group);
   }
-
-  #choose(item: WaitingItem, engines: readonly MutableEngineView[]): MutableEngineView | undefined {
-    const capable = engines.filter((engine) => canRun(item, engine));
-    const preferred = capable.filter((engine) => !item.avoidedEngines.has(engine.id));
-    const candidates = preferred.length > 0 ? preferred : capable;
-    const cachedAt = this.#engineByGroup.get(item.group);
-    const cached = candidates.find((engine) => engine.id === cachedAt);
-    if (cached) return cached;
-    return [...candidates].sort((a, b) => estimateLoad(a) - estimateLoad(b))[0];
-  }
 }
 
 /**
@@ -127,22 +92,16 @@
   return { ...engine, slots, msPerEvent: isKnown ? engine.msPerEvent : fastest };
 }
 
-function listEligible(
-  waiting: number,
-  engines: readonly MutableEngineView[],
-  fastest: Millis,
-): MutableEngineView[] {
-  const fast = engines.filter((engine) => !isSlow(engine, fastest));
+/**
+ * Lists the engines that items may use, as copies whose loads can be changed.
+ *
+ * @param waiting - how many items wait
+ * @param engines - the engines of the items' model
+ */
+export function listEligible(waiting: number, engines: readonly EngineView[]): MutableEngineView[] {
+  const fastest = findFastest(engines);
+  const views = engines.map((engine) => applyProbeLimit(engine, fastest));
+  const fast = views.filter((engine) => !isSlow(engine, fastest));
   const slots = fast.reduce((sum, engine) => sum + engine.slots, 0);
-  return waiting > LONG_BACKLOG_ITEMS_PER_SLOT * slots ? [...engines] : fast;
-}
-
-function canRun(item: WaitingItem, engine: EngineView): boolean {
-  if (engine.isLoading || engine.running >= engine.slots) return false;
-  if (item.requiredVersion !== undefined) return engine.version === item.requiredVersion;
-  return engine.version >= item.leastVersion;
-}
-
-function estimateLoad({ running, slots, msPerEvent = 1 }: EngineView): number {
-  return ((running + 1) / slots) * (Number.isFinite(msPerEvent) ? msPerEvent : 1);
+  return waiting > LONG_BACKLOG_ITEMS_PER_SLOT * slots ? views : fast;
 }
--- a/packages/gateway/src/run-tracker.ts
+++ b/packages/gateway/src/run-tracker.ts
@@ -1,12 +1,13 @@
 /** The runs at each engine, and what placement and weight changes need to know of them. */
-import type { TargetId } from '@hibiscushill/base';
+import type { ServiceId, TargetId, WeightVersion } from '@hibiscushill/base';
 
 import type { ConfigTracker } from './config-tracker';
 import type { TargetRegistration } from './target-directory';
 import type { EngineTracker } from './engine-tracker';
 import type { ItemRun } from './item-run';
 import type { ItemTask } from './item-task';
-import { type EngineView, findFastest, isSlow } from './placement';
+import type { EngineView } from './engine-view';
+import { findFastest, isSlow } from './placement';
 import type { ModelId, ServingRoute } from './serving-config';
 
 /** A model's runs at an engine, as far as a change of its weights depends on them. */
@@ -26,6 +27,8 @@
 
   readonly #runs = new Map<TargetId, Set<ItemRun>>();
 
+  readonly #runsByTask = new Map<ItemTask, Set<ItemRun>>();
+
   /**
    * @param engineTracker - what was observed of the engines
    * @param config - the routes from items to services
@@ -41,13 +44,18 @@
   }
 
   add(run: ItemRun): void {
-    const runs = this.#runs.get(run.engine.id) ?? new Set<ItemRun>();
-    this.#runs.set(run.engine.id, runs);
-    runs.add(run);
+    addTo(this.#runs, run.engine.id, run);
+    addTo(this.#runsByTask, run.task, run);
   }
 
   remove(run: ItemRun): void {
-    this.#runs.get(run.engine.id)?.delete(run);
+    removeFrom(this.#runs, run.engine.id, run);
+    removeFrom(this.#runsByTask, run.task, run);
+  }
+
+  /** Lists the runs of an item. */
+  listRunsOf(task: ItemTask): ItemRun[] {
+    return [...(this.#runsByTask.get(task) ?? [])];
   }
 
   /** Lists a model's runs at an engine. */
@@ -82,21 +90,28 @@
     };
   }
 
-  /** Summarizes a model's runs at an engine. */
-  summarizeRuns(engine: TargetRegistration, model: ModelId): EngineRunSummary {
-    const runs = this.listRuns(engine.id, model);
-    const leastVersion = Math.max(1, ...runs.map((run) => run.task.leastVersion));
-    const healthy = this.#engineTracker
-      .listUsable(engine.service)
-      .filter((other) => !this.#engineTracker.isBackedOff(other));
-    const views = healthy.map((other) => this.describeEngine(other, model));
-    const own = this.describeEngine(engine, model);
-    const isSlowNow = own.isSpeedFresh && isSlow(own, findFastest(views));
-    const freeSlots = countFreeSlots(
-      views.filter((view) => view.id !== engine.id && view.version >= leastVersion),
+  /** Summarizes a model's runs at each usable engine of a service. */
+  summarizeRuns(service: ServiceId, model: ModelId): Map<TargetId, EngineRunSummary> {
+    const engines = this.#engineTracker.listUsable(service);
+    const views = engines.map((engine) => this.describeEngine(engine, model));
+    const healthy = views.filter((_, index) => !this.#engineTracker.isBackedOff(engines[index]!));
+    const fastest = findFastest(healthy);
+    const freeSlots = new FreeSlots(healthy);
+    return new Map(
+      views.map((view, index) => {
+        const runs = this.listRuns(view.id, model);
+        const leastVersion = Math.max(1, ...runs.map((run) => run.task.leastVersion));
+        const isBackedOff = this.#engineTracker.isBackedOff(engines[index]!);
+        return [
+          view.id,
+          {
+            running: runs.length,
+            canMoveRuns: runs.length <= freeSlots.countElsewhere(view.id, leastVersion),
+            isDegraded: isBackedOff || (view.isSpeedFresh && isSlow(view, fastest)),
+          },
+        ];
+      }),
     );
-    const isDegraded = isSlowNow || this.#engineTracker.isBackedOff(engine);
-    return { running: runs.length, canMoveRuns: runs.length <= freeSlots, isDegraded };
   }
 
   /** Lists runs on slow engines for which fast engines have free slots. */
@@ -117,14 +132,49 @@
     const fastest = findFastest(views);
     const slow = views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh);
     const slowIds = new Set(slow.map((view) => view.id));
-    const freeSlots = countFreeSlots(views.filter((view) => !slowIds.has(view.id)));
+    const freeSlots = views
+      .filter((view) => !slowIds.has(view.id))
+      .reduce((sum, view) => sum + countFreeSlots(view), 0);
     return runs.filter((run) => slowIds.has(run.engine.id)).slice(0, freeSlots);
   }
 }
 
-/** Counts the free slots of engines that accept new runs. */
-function countFreeSlots(views: readonly EngineView[]): number {
-  return views
-    .filter((view) => !view.isLoading)
-    .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
+/** The free slots of all engines, counted once by version. */
+class FreeSlots {
+  readonly #slotsByVersion = new Map<WeightVersion, number>();
+
+  readonly #views = new Map<TargetId, EngineView>();
+
+  constructor(views: readonly EngineView[]) {
+    views.forEach((view) => {
+      this.#views.set(view.id, view);
+      const counted = this.#slotsByVersion.get(view.version) ?? 0;
+      this.#slotsByVersion.set(view.version, counted + countFreeSlots(view));
+    });
+  }
+
+  /** Counts the free slots of the other engines that have at least a version. */
+  countElsewhere(engine: TargetId, leastVersion: number): number {
+    const own = this.#views.get(engine);
+    const ownSlots = own && own.version >= leastVersion ? countFreeSlots(own) : 0;
+    return [...this.#slotsByVersion]
+      .filter(([version]) => version >= leastVersion)
+      .reduce((sum, [, slots]) => sum + slots, -ownSlots);
+  }
+}
+
+/** Counts an engine's free slots; it has none while its weights are being changed. */
+function countFreeSlots({ isLoading, slots, running }: EngineView): number {
+  return isLoading ? 0 : Math.max(0, slots - running);
+}
+
+function addTo<K>(runs: Map<K, Set<ItemRun>>, key: K, run: ItemRun): void {
+  const set = runs.get(key) ?? new Set<ItemRun>();
+  runs.set(key, set.add(run));
+}
+
+function removeFrom<K>(runs: Map<K, Set<ItemRun>>, key: K, run: ItemRun): void {
+  const set = runs.get(key);
+  set?.delete(run);
+  if (set?.size === 0) runs.delete(key);
 }
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -5,6 +5,7 @@
   Metrics,
   Millis,
   RequestId,
+  ServiceId,
   TargetId,
   WallTime,
 } from '@hibiscushill/base';
@@ -100,9 +101,9 @@
     return this.#tasks.size;
   }
 
-  /** Summarizes a model's runs at an engine. */
-  summarizeRuns(engine: TargetRegistration, model: ModelId): EngineRunSummary {
-    return this.#runTracker.summarizeRuns(engine, model);
+  /** Summarizes a model's runs at each usable engine of a service. */
+  summarizeRuns(service: ServiceId, model: ModelId): ReadonlyMap<TargetId, EngineRunSummary> {
+    return this.#runTracker.summarizeRuns(service, model);
   }
 
   /** Ends a model's runs at an engine; their items go on elsewhere from the last event. */
@@ -235,7 +236,7 @@
     task.stop();
     this.#tasks.delete(createTaskKey(task.submission, task.spec.id));
     this.#waiting.delete(task);
-    this.#runTracker.runs.filter((run) => run.task === task).forEach((run) => run.cancel());
+    this.#runTracker.listRunsOf(task).forEach((run) => run.cancel());
     this.#notifyIfIdle();
   }
 
@@ -251,12 +252,14 @@
     const now = this.#options.clock.mono();
     const ready = [...this.#waiting].filter((task) => task.isReady(now));
     const tasksByModel = new Map<ModelId, ItemTask[]>();
-    const routed = ready.filter((task) => this.#runTracker.findRoute(task));
+    const routed = new Set(ready.filter((task) => this.#runTracker.findRoute(task)));
     // An item without a route can never run: its route was withdrawn.
-    ready.filter((task) => !routed.includes(task)).forEach((task) => this.#finish(task, 'dead'));
-    this.#options.order.sort(routed).forEach((task) => {
+    ready.filter((task) => !routed.has(task)).forEach((task) => this.#finish(task, 'dead'));
+    this.#options.order.sort([...routed]).forEach((task) => {
       const model = getModel(task);
-      tasksByModel.set(model, [...(tasksByModel.get(model) ?? []), task]);
+      const tasks = tasksByModel.get(model) ?? [];
+      tasksByModel.set(model, tasks);
+      tasks.push(task);
     });
     tasksByModel.forEach((tasks, model) => this.#placeItemsOfModel(model, tasks));
   }
@@ -265,9 +268,10 @@
     const [first] = tasks;
     const engines = first ? this.#runTracker.listEngines(first) : [];
     const views = engines.map((engine) => this.#runTracker.describeEngine(engine, model));
+    const enginesById = new Map(engines.map((engine) => [engine.id, engine]));
     const placements = this.#options.placement.place(tasks, views);
     placements.forEach(({ item, engine: id }) => {
-      const engine = engines.find((one) => one.id === id);
+      const engine = enginesById.get(id);
       const route = this.#runTracker.findRoute(item);
       if (engine && route) this.#startRun(item, engine, model, route);
     });
@@ -358,6 +362,7 @@
   }
 
   #notifyIfIdle(): void {
+    if (this.#idleListeners.size === 0) return;
     const running = [...this.#tasks.values()].some((task) => !this.#waiting.has(task));
     if (running) return;
     this.#idleListeners.forEach((resolve) => resolve());
--- a/packages/gateway/src/weight-controller.ts
+++ b/packages/gateway/src/weight-controller.ts
@@ -17,7 +17,7 @@
 import type { EngineTracker } from './engine-tracker';
 import type { ModelId, ServingService } from './serving-config';
 import type { SubmissionRegistry } from './submission';
-import type { ModelState, WeightChange, WeightPlanner, EngineWeights } from './weight-planner';
+import type { ModelState, WeightChange, WeightPlanner } from './weight-planner';
 import type { SubmissionRunner } from './submission-runner';
 
 // A change of weights takes about a second, and longer while many engines load.
@@ -29,6 +29,8 @@
 // How long to wait after a failed order before the engine gets another one.
 const FAILURE_DELAY_MS = 400;
 
+const NO_RUNS: EngineRunSummary = { running: 0, canMoveRuns: true, isDegraded: false };
+
 /** The engines, the planner, and the sender that fences orders by the holder's claim. */
 export interface WeightControllerOptions {
   readonly clock: Clock;
@@ -69,6 +71,7 @@
   #createModelState(service: ServingService, model: ModelId): ModelState {
     const { config, engineTracker, runner } = this.#options;
     const publishedVersion = config.publishedVersionOf(model);
+    const summaries = runner.summarizeRuns(service.name, model);
     return {
       model,
       publishedVersion,
@@ -81,7 +84,7 @@
         isLoading:
           engineTracker.isLoading(engine, model) ||
           this.#changesInProgress.has(createChangeKey(engine.id, model)),
-        ...toRunFields(runner.summarizeRuns(engine, model)),
+        ...(summaries.get(engine.id) ?? NO_RUNS),
       })),
     };
   }
@@ -179,14 +182,6 @@
   }
 }
 
-function toRunFields({
-  running,
-  canMoveRuns,
-  isDegraded,
-}: EngineRunSummary): Pick<EngineWeights, 'running' | 'canMoveRuns' | 'isDegraded'> {
-  return { running, canMoveRuns, isDegraded };
-}
-
 function createChangeKey(engine: TargetId, model: ModelId): string {
   return `${engine} ${model}`;
 }
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -1,7 +1,10 @@
 import type { TargetId, WeightVersion } from '@hibiscushill/base';
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { type EngineView, BalancedPlacement, type WaitingItem } from '../src/placement';
+import type { EngineView, WaitingItem } from '../src/engine-view';
+import { BalancedPlacement } from '../src/placement';
+import { NaivePlacement } from './naive-placement';
 import { version } from './support';
 
 function engine(id: string, changes: Partial<EngineView> = {}): EngineView {
@@ -85,3 +88,43 @@
     expect(place([item('a', { avoidedEngines: avoid })], [engine('x')])).toEqual(['a@x']);
   });
 });
+
+describe('the placement by an index', () => {
+  const engineView = (id: string): fc.Arbitrary<EngineView> =>
+    fc.record({
+      id: fc.constant(id as TargetId),
+      running: fc.integer({ min: 0, max: 4 }),
+      slots: fc.integer({ min: 1, max: 4 }),
+      version: fc.integer({ min: 1, max: 3 }).map(version),
+      isLoading: fc.boolean(),
+      msPerEvent: fc.constantFrom(undefined, 20, 30, 35, 140),
+      isSpeedFresh: fc.boolean(),
+    });
+  const engines = fc
+    .integer({ min: 0, max: 9 })
+    .chain((count) => fc.tuple(...Array.from({ length: count }, (_, at) => engineView(`e${at}`))));
+  const waiting: fc.Arbitrary<WaitingItem> = fc.record({
+    group: fc.constantFrom('a', 'b', 'c'),
+    leastVersion: fc.integer({ min: 1, max: 4 }).map(version),
+    requiredVersion: fc.option(fc.integer({ min: 1, max: 3 }).map(version), { nil: undefined }),
+    avoidedEngines: fc
+      .array(fc.integer({ min: 0, max: 9 }), { maxLength: 3 })
+      .map((ids) => new Set(ids.map((id) => `e${id}` as TargetId))),
+  });
+
+  it('chooses as one that considers every engine for each item', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.array(waiting, { maxLength: 30 }), engines), { maxLength: 4 }),
+        (rounds) => {
+          const indexed = new BalancedPlacement();
+          const naive = new NaivePlacement();
+          rounds.forEach(([items, views]) => {
+            expect(indexed.place(items, views)).toEqual(naive.place(items, views));
+          });
+        },
+      ),
+      { numRuns: 1_000 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/run-tracker.test.ts
@@ -0,0 +1,105 @@
+import { ManualClock, type TargetId } from '@hibiscushill/base';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { ConfigTracker } from '../src/config-tracker';
+import { EngineTracker } from '../src/engine-tracker';
+import type { EngineView } from '../src/engine-view';
+import type { ItemRun } from '../src/item-run';
+import { findFastest, isSlow } from '../src/placement';
+import { type EngineRunSummary, RunTracker } from '../src/run-tracker';
+import { TargetDirectory } from '../src/target-directory';
+import { MODEL, SERVICE, createMetrics, createTarget, version } from './support';
+
+/** An engine, and the least versions of the runs at it. */
+interface EngineCase {
+  readonly slots: number;
+  readonly version: number;
+  readonly isLoading: boolean;
+  readonly isBackedOff: boolean;
+  readonly msPerEvent: number | undefined;
+  readonly runs: readonly number[];
+}
+
+function createRunTracker(cases: readonly EngineCase[]): RunTracker {
+  const clock = new ManualClock(1_000);
+  const config = new ConfigTracker({ clock, metrics: createMetrics(), withdrawnKeyMs: 5_000 });
+  const directory = new TargetDirectory({ clock });
+  const engineTracker = new EngineTracker(clock, directory);
+  const tracker = new RunTracker(engineTracker, config);
+  cases.forEach((one, index) => {
+    const engine = createTarget(`e${index}`, {
+      slots: one.slots,
+      versions: new Map([[MODEL, version(one.version)]]),
+    });
+    directory.recordRegistration(engine);
+    if (one.isLoading) engineTracker.markLoading(engine, MODEL, 1_000);
+    if (one.isBackedOff) engineTracker.recordFailure(engine);
+    if (one.msPerEvent !== undefined) engineTracker.recordSpeed(engine, one.msPerEvent);
+    one.runs.forEach((leastVersion) =>
+      tracker.add({ engine, model: MODEL, task: { leastVersion } } as unknown as ItemRun),
+    );
+  });
+  return tracker;
+}
+
+/** Summarizes one engine by looking at all others. */
+function summarizeNaively(cases: readonly EngineCase[], at: number): EngineRunSummary {
+  const views = cases.map((one, index): EngineView => ({
+    ...one,
+    id: `e${index}` as TargetId,
+    version: version(one.version),
+    running: one.runs.length,
+    isSpeedFresh: one.msPerEvent !== undefined,
+  }));
+  const own = views[at]!;
+  const { runs, isBackedOff } = cases[at]!;
+  const healthy = views.filter((_, index) => !cases[index]?.isBackedOff);
+  const leastVersion = Math.max(1, ...runs);
+  const freeSlots = healthy
+    .filter((view) => view !== own && !view.isLoading && view.version >= leastVersion)
+    .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
+  const isSlowNow = own.isSpeedFresh && isSlow(own, findFastest(healthy));
+  return {
+    running: runs.length,
+    canMoveRuns: runs.length <= freeSlots,
+    isDegraded: isSlowNow || isBackedOff,
+  };
+}
+
+describe('the summaries of the runs at all engines', () => {
+  const engineCase: fc.Arbitrary<EngineCase> = fc.record({
+    slots: fc.integer({ min: 1, max: 4 }),
+    version: fc.integer({ min: 1, max: 3 }),
+    isLoading: fc.boolean(),
+    isBackedOff: fc.boolean(),
+    msPerEvent: fc.constantFrom(undefined, 20, 30, 140),
+    runs: fc.array(fc.integer({ min: 1, max: 3 }), { maxLength: 5 }),
+  });
+
+  it('are those that looking at all other engines for each one gives', () => {
+    fc.assert(
+      fc.property(fc.array(engineCase, { maxLength: 8 }), (cases) => {
+        const summaries = createRunTracker(cases).summarizeRuns(SERVICE, MODEL);
+        expect(summaries.size).toBe(cases.length);
+        cases.forEach((_, at) => {
+          expect(summaries.get(`e${at}` as TargetId)).toEqual(summarizeNaively(cases, at));
+        });
+      }),
+      { numRuns: 500 },
+    );
+  });
+});
+
+describe('the runs of an item', () => {
+  it('are found until they are removed', () => {
+    const tracker = createRunTracker([]);
+    const task = { leastVersion: 1 };
+    const run = { engine: createTarget('e1'), model: MODEL, task } as unknown as ItemRun;
+    tracker.add(run);
+    expect(tracker.listRunsOf(run.task)).toEqual([run]);
+    tracker.remove(run);
+    expect(tracker.listRunsOf(run.task)).toEqual([]);
+    expect(tracker.runs).toEqual([]);
+  });
+});
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -33,6 +33,7 @@
 import { SubmissionRunner } from '../src/submission-runner';
 import {
   MODEL,
+  SERVICE,
   ManualClient,
   createConfig,
   createItem,
@@ -252,7 +253,10 @@
     client.calls[0]?.stream(1, ['a']);
     const engine = createTarget('e1', { slots: 4 });
     directory.recordRegistration(createTarget('e2', { slots: 4 }));
-    expect(runner.summarizeRuns(engine, MODEL)).toMatchObject({ running: 1, canMoveRuns: true });
+    expect(runner.summarizeRuns(SERVICE, MODEL).get(engine.id)).toMatchObject({
+      running: 1,
+      canMoveRuns: true,
+    });
     engineTracker.markLoading(engine, MODEL, 1_000);
     runner.moveRuns(engine.id, MODEL);
     await runPendingCallbacks();
