--- a/packages/agent/src/attempt-executor.ts
+++ b/packages/agent/src/attempt-executor.ts
@@ -3,6 +3,7 @@
   type CodeName,
   type Clock,
   type Failure,
+  HOP_BY_HOP_HEADERS,
   type Millis,
   RESULT_CODES,
 } from '@hibiscushill/base';
@@ -32,17 +33,7 @@
 const HEX_RADIX = 16;
 const RETRY_AFTER_MS: Millis = 250;
 
-// Headers that belong to a single connection and are never forwarded.
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const HOP_BY_HOP = new Set(HOP_BY_HOP_HEADERS);
 
 /** Runs attempts at the target. */
 export class AttemptExecutor {
@@ -160,6 +151,6 @@
 
 function toHeaders(headers: Record<string, string | string[] | undefined>): Header[] {
   return Object.entries(headers)
-    .filter(([name]) => !HOP_BY_HOP_HEADERS.has(name))
+    .filter(([name]) => !HOP_BY_HOP.has(name))
     .flatMap(([name, value]) => [value ?? []].flat().map((text) => ({ name, value: text })));
 }
--- a/packages/proof/src/faults.ts
+++ b/packages/proof/src/faults.ts
@@ -1,5 +1,6 @@
 /** Schedules of faults from a seed, and their injection into a running deployment. */
 import type { RandomSource } from '@hibiscushill/base';
+import { type Result, err, ok } from 'neverthrow';
 
 import { type Cluster, postJson, sleep } from './cluster';
 import type { FaultRecord } from './history';
@@ -27,6 +28,22 @@
 /** A kind of fault. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
+/**
+ * Parses kinds of faults.
+ *
+ * @param text - the kinds, separated by commas
+ * @returns the kinds, or the names that are none
+ */
+export function parseFaultKinds(text: string): Result<FaultKind[], string[]> {
+  const names = text.split(',').map((name) => name.trim());
+  const unknown = names.filter((name) => !isFaultKind(name));
+  return unknown.length > 0 ? err(unknown) : ok(names.filter(isFaultKind));
+}
+
+function isFaultKind(name: string): name is FaultKind {
+  return (FAULT_KINDS as readonly string[]).includes(name);
+}
+
 /** A fault of a schedule. */
 export interface PlannedFault {
   readonly kind: FaultKind;
--- a/packages/proof/src/runs.ts
+++ b/packages/proof/src/runs.ts
@@ -1,5 +1,5 @@
 /** The commands that run the proofs, seed by seed, and print their results. */
-import { type FaultKind } from './faults';
+import { type FaultKind, parseFaultKinds } from './faults';
 import { writeHistory } from './history';
 import { KEY_SITUATIONS, proveWithdrawal } from './key-proof';
 import type { Violation } from './request-checkers';
@@ -112,10 +112,19 @@
 }
 
 function createFaultOptions(flags: RunFlags) {
-  const faultKinds = flags.kinds?.split(',') as FaultKind[] | undefined;
+  const faultKinds = flags.kinds === undefined ? undefined : readFaultKinds(flags.kinds);
   return { faultCount: flags.faults, spanMs: flags.span, ...(faultKinds && { faultKinds }) };
 }
 
+function readFaultKinds(text: string): FaultKind[] {
+  return parseFaultKinds(text).match(
+    (kinds) => kinds,
+    (unknown) => {
+      throw new Error(`unknown kinds of faults: ${unknown.join(', ')}`);
+    },
+  );
+}
+
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
