--- a/packages/base/src/connection-reset.ts
+++ b/packages/base/src/connection-reset.ts
@@ -9,8 +9,8 @@
  */
 export function onConnectionReset(socket: Socket, onReset: () => void): void {
   socket.on('error', onReset);
-  // A reset that arrives together with data is reported as the end of the data. The system forgets
-  // the peer's address at a reset, but keeps it after a normal close.
+  // Node.js reports a reset that arrives together with data as the end of the data. The operating
+  // system forgets the peer's address at a reset, but keeps it after a normal close.
   socket.on('end', () => {
     if (socket.remoteAddress === undefined) onReset();
   });
