--- a/packages/proof/src/child.ts
+++ b/packages/proof/src/child.ts
@@ -2,7 +2,9 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 
-const START_TIMEOUT_MS = 20_000;
+import type { Millis } from '@hibiscushill/base';
+
+const START_TIMEOUT_MS: Millis = 20_000;
 const MAX_KEPT_STDERR_CHARS = 4000;
 
 /** A program of the workspace. */
@@ -39,14 +41,20 @@
    * @param name - what the process is called in error messages
    * @param program - the program
    * @param args - its arguments
+   * @param startTimeoutMs - after which it is killed if it is not ready
    * @returns the process, once it is ready
    */
-  static async start(name: string, program: ProgramName, args: readonly string[]): Promise<Child> {
+  static async start(
+    name: string,
+    program: ProgramName,
+    args: readonly string[],
+    startTimeoutMs: Millis = START_TIMEOUT_MS,
+  ): Promise<Child> {
     const childProcess = spawn(process.execPath, [programPath(program), ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { PATH: process.env.PATH, ROARR_LOG: process.env.ROARR_LOG },
     });
-    const readyLine = await readReadyLine(name, childProcess);
+    const readyLine = await readReadyLine(name, childProcess, startTimeoutMs);
     return new Child(name, readyLine, childProcess);
   }
 
@@ -91,17 +99,27 @@
   return fileURLToPath(new URL(`${folder}${program}.mjs`, import.meta.url));
 }
 
-function readReadyLine(name: string, childProcess: ChildProcess): Promise<ReadyLine> {
+function readReadyLine(
+  name: string,
+  childProcess: ChildProcess,
+  startTimeoutMs: Millis,
+): Promise<ReadyLine> {
   return new Promise((resolve, reject) => {
     let stdout = '';
     let stderr = '';
     const fail = (reason: string): void => reject(new Error(`${name}: ${reason}\n${stderr}`));
-    const timer = setTimeout(() => fail('printed no ready line in time'), START_TIMEOUT_MS);
+    const timer = setTimeout(() => {
+      childProcess.kill('SIGKILL');
+      fail(`process ${childProcess.pid} printed no ready line in time and was killed`);
+    }, startTimeoutMs);
     childProcess.stderr?.on('data', (data: Buffer) => {
       stderr = (stderr + data.toString()).slice(-MAX_KEPT_STDERR_CHARS);
       if (process.env.HIBISCUS_SHOW_STDERR) process.stderr.write(`${name}: ${data.toString()}`);
     });
-    childProcess.once('exit', (code) => fail(`exited with code ${code} before it was ready`));
+    childProcess.once('exit', (code) => {
+      clearTimeout(timer);
+      fail(`exited with code ${code} before it was ready`);
+    });
     childProcess.stdout?.on('data', (data: Buffer) => {
       if (process.env.ROARR_LOG) process.stdout.write(data);
       stdout += data.toString();
