Log why an item is abandoned, with the configuration in use

Each abandoned item now has a line with its reason, its errors so far, the configuration's version and the age of its confirmation; a counter for each reason; scoring calls that fail name their item.

--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -69,6 +69,11 @@
     this.fingerprint = createFingerprint(submission.terms, spec);
   }
 
+  /** How often a run of it was answered with status 500. */
+  get serverErrors(): number {
+    return this.#serverErrors;
+  }
+
   /** How often its reward call was answered with status 500. */
   get rewardErrors(): number {
     return this.#rewardErrors;
--- a/packages/gateway/src/reward-caller.ts
+++ b/packages/gateway/src/reward-caller.ts
@@ -5,6 +5,7 @@
 import type { ConfigTracker } from './config-tracker';
 import type { ItemTask } from './item-task';
 import type { RequestForwarder } from './request-forwarder';
+import { formatItemId } from './submission';
 
 // Longer than the slowest scoring call, and short enough to retry before the step is due.
 const REWARD_TIMEOUT_MS = 1_500;
@@ -87,7 +88,8 @@
       return result.head.receipt;
     }
     const reason = result.type === 'refused' ? result.answer.detail : result.type;
-    logger.info('A scoring call failed.', { id: reward.id, reason });
+    const item = formatItemId(task.submission.terms.id, task.spec.id);
+    logger.info('A scoring call failed.', { id: reward.id, item, reason });
     return undefined;
   }
 }
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -23,7 +23,13 @@
 import type { ResultWriter } from './result-writer';
 import type { RewardCaller } from './reward-caller';
 import type { ModelId, ServingRoute } from './serving-config';
-import type { SubmissionChange, ItemId, Submission, SubmissionRegistry } from './submission';
+import {
+  type ItemId,
+  type Submission,
+  type SubmissionChange,
+  type SubmissionRegistry,
+  formatItemId,
+} from './submission';
 import type { TargetClient } from './target-port';
 import { PartialOutputCache } from './partial-output-cache';
 import type { HandoverPayload } from './submission-records';
@@ -38,6 +44,9 @@
 // How long to wait before items that couldn't be loaded are loaded again.
 const LOAD_RETRY_DELAY_MS = 150;
 
+/** Why an item is abandoned without a complete output; part of metric names and log fields. */
+type AbandonReason = 'route-withdrawn' | 'impossible' | 'run-errors' | 'scoring-errors';
+
 /** The submissions, the engines, the policies, and where results go. */
 export interface SubmissionRunnerOptions {
   readonly clock: Clock;
@@ -122,7 +131,10 @@
       void this.#addSubmission(submission);
     });
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
-    this.#options.logger.info('Started running submissions.', { open: open.length });
+    this.#options.logger.info('Started running submissions.', {
+      open: open.length,
+      ...this.#describeConfig(),
+    });
     this.schedule();
   }
 
@@ -254,7 +266,9 @@
     const tasksByModel = new Map<ModelId, ItemTask[]>();
     const routed = new Set(ready.filter((task) => this.#runTracker.findRoute(task)));
     // An item without a route can never run: its route was withdrawn.
-    ready.filter((task) => !routed.has(task)).forEach((task) => this.#finish(task, 'dead'));
+    ready
+      .filter((task) => !routed.has(task))
+      .forEach((task) => this.#abandon(task, 'route-withdrawn'));
     this.#options.order.sort([...routed]).forEach((task) => {
       const model = getModel(task);
       const tasks = tasksByModel.get(model) ?? [];
@@ -321,7 +335,7 @@
     }
     if (outcome === 'server-error') task.countServerError(engine.id);
     if (outcome === 'impossible' || task.hasExhaustedErrors(route.maxRuns)) {
-      this.#finish(task, 'dead');
+      this.#abandon(task, outcome === 'impossible' ? 'impossible' : 'run-errors');
       return;
     }
     if (outcome === 'refused' || outcome === 'wrong-version') {
@@ -340,7 +354,21 @@
     }
     const outcome = await this.#options.rewards.call(task, reward);
     if (outcome.type === 'scored') this.#finish(task, 'complete', outcome.receipt);
-    if (outcome.type === 'failed') this.#finish(task, 'dead');
+    if (outcome.type === 'failed') this.#abandon(task, 'scoring-errors');
+  }
+
+  #abandon(task: ItemTask, reason: AbandonReason): void {
+    if (task.isStopped) return;
+    const { logger, metrics } = this.#options;
+    metrics.count(`item.abandoned.${reason}`);
+    logger.info('An item was abandoned.', {
+      id: formatItemId(task.submission.terms.id, task.spec.id),
+      reason,
+      serverErrors: task.serverErrors,
+      scoringErrors: task.rewardErrors,
+      ...this.#describeConfig(),
+    });
+    this.#finish(task, 'dead');
   }
 
   #finish(task: ItemTask, state: 'complete' | 'dead', score?: string): void {
@@ -361,6 +389,15 @@
     return this.#options.config.current?.findRoute(terms.host, terms.path);
   }
 
+  /** Which configuration is in use, and how long ago it was confirmed, for log lines. */
+  #describeConfig(): { configVersion: number | undefined; configProofAgeMs: Millis } {
+    const { config } = this.#options;
+    return {
+      configVersion: config.current?.version,
+      configProofAgeMs: Math.round(config.proofAgeMs),
+    };
+  }
+
   #notifyIfIdle(): void {
     if (this.#idleListeners.size === 0) return;
     const running = [...this.#tasks.values()].some((task) => !this.#waiting.has(task));
