--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -1,5 +1,6 @@
 import {
   ManualClock,
+  type MonoTime,
   type Offset,
   RandomSource,
   type TargetId,
@@ -20,6 +21,7 @@
 import { RequestForwarder } from '../src/request-forwarder';
 import { ResultWriter } from '../src/result-writer';
 import { RewardCaller } from '../src/reward-caller';
+import type { ServingRoute } from '../src/serving-config';
 import { SubmissionRegistry, type SubmissionId, type SubmissionTerms } from '../src/submission';
 import { LowestLatencyChooser } from '../src/target-chooser';
 import { TargetStats } from '../src/target-stats';
@@ -48,25 +50,37 @@
 
 const ID = 's1' as SubmissionId;
 
+const ROLLOUT_ROUTE = createRoute({ kind: 'rollout', maxRuns: 3 });
+
 let clock: ManualClock;
 let log: MemoryLog;
 let submissions: SubmissionRegistry;
 let client: ManualClient;
 let directory: TargetDirectory;
+let config: ConfigTracker;
 let engineTracker: EngineTracker;
 let runner: SubmissionRunner;
 let payloads: PayloadStore;
 let read: number;
+/** When the read of the configuration was sent that confirmed it last. */
+let confirmedAt: MonoTime;
 
-beforeEach(() => {
+/** Creates a runner of a process that has read a configuration, or none yet. */
+function setUp({ hasConfig }: { hasConfig: boolean }): void {
   clock = new ManualClock(1_000);
   log = new MemoryLog({ clock });
   submissions = new SubmissionRegistry();
   client = new ManualClient();
   read = 0;
   const metrics = createMetrics();
-  const config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: 5_000 });
-  config.updateConfig(createConfig(1, [createRoute({ kind: 'rollout', maxRuns: 3 })]));
+  config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: 5_000 });
+  config.setFreshnessSource({
+    get proofAgeMs() {
+      return clock.mono() - confirmedAt;
+    },
+  });
+  confirmedAt = -Infinity as MonoTime;
+  if (hasConfig) confirmConfig([ROLLOUT_ROUTE]);
   directory = new TargetDirectory({ clock });
   engineTracker = new EngineTracker(clock, directory);
   payloads = new PayloadStore(log);
@@ -92,12 +106,23 @@
     placement: new BalancedPlacement(),
     order: new LongestFirstOrder(),
   });
+}
+
+beforeEach(() => {
+  setUp({ hasConfig: true });
 });
 
 afterEach(() => {
   runner.stop();
 });
 
+/** Reads the configuration: the next version with some routes. */
+function confirmConfig(routes: readonly ServingRoute[]): void {
+  clock.advance(1);
+  confirmedAt = clock.mono();
+  config.updateConfig(createConfig((config.current?.version ?? 0) + 1, routes));
+}
+
 async function append(record: NewRecord): Promise<void> {
   await log.append('work', [record]);
   await readLog();
@@ -264,3 +289,56 @@
     expect(client.openCalls[0]?.call.resumeAfter).toBe(1);
   });
 });
+
+describe('the submission runner of a process that has not read the newest configuration', () => {
+  async function placeItems(): Promise<void> {
+    runner.schedule();
+    await readLog();
+  }
+
+  beforeEach(() => {
+    setUp({ hasConfig: false });
+    directory.recordRegistration(createTarget('e1'));
+    runner.start();
+  });
+
+  // Incident 0008: a process that took over before its first configuration listed items as dead.
+  it('abandons no item before its first configuration, and runs it then', async () => {
+    await submit([createItem('i1')]);
+    await placeItems();
+    expect(submissions.find(ID)?.results).toEqual([]);
+    confirmConfig([ROLLOUT_ROUTE]);
+    await placeItems();
+    expect(runningAt('e1')).toEqual(['i1']);
+  });
+
+  it('abandons no item whose route a newer configuration has added', async () => {
+    confirmConfig([createRoute({ name: 'other', pathPrefix: '/other/' })]);
+    await submit([createItem('i1')]);
+    await placeItems();
+    expect(submissions.find(ID)?.results).toEqual([]);
+    confirmConfig([ROLLOUT_ROUTE]);
+    await placeItems();
+    expect(runningAt('e1')).toEqual(['i1']);
+  });
+
+  it('abandons an item whose route is missing from a configuration read after it', async () => {
+    confirmConfig([ROLLOUT_ROUTE]);
+    engineTracker.markLoading(createTarget('e1'), MODEL, 1_000);
+    await submit([createItem('i1')]);
+    confirmConfig([]);
+    await placeItems();
+    expect(submissions.find(ID)?.results).toMatchObject([{ item: 'i1', state: 'dead' }]);
+  });
+
+  it('mixes no weight versions on a route that it reads after the submission', async () => {
+    await submit([createItem('i1')]);
+    await placeItems();
+    confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
+    await placeItems();
+    const [call] = client.openCalls;
+    call?.stream(1, ['a']);
+    call?.stream(2, ['b'], { version: version(2) });
+    expect(call?.isAborted).toBe(true);
+  });
+});
