Abandon items for a missing route only by a configuration read after them

What callers saw: a submission's items listed as dead, seconds after all processes had been killed, although their route had never been withdrawn.

Cause: the holder of the control duty took an item without a route for one whose route was withdrawn. A process that has read no configuration knows no route at all; one with an older configuration than the process that accepted the submission doesn't know a new one.

A route now counts as withdrawn only if the configuration was confirmed by a read that was sent after this process learnt of the item. The process that accepted it had read its configuration before that, so that every later read includes it. Until then the item waits.

--- a/packages/gateway/src/config-tracker.ts
+++ b/packages/gateway/src/config-tracker.ts
@@ -4,6 +4,7 @@
   type Logger,
   type Metrics,
   type Millis,
+  type MonoTime,
   type WeightVersion,
   createLogger,
 } from '@hibiscushill/base';
@@ -62,6 +63,16 @@
     return this.#freshness.proofAgeMs;
   }
 
+  /**
+   * Tells whether the configuration includes every change that another process may have acted on
+   * before a time, so that what is missing from it then was withdrawn and isn't just unread.
+   *
+   * @param at - the time
+   */
+  isConfirmedSince(at: MonoTime): boolean {
+    return this.#current !== undefined && this.proofAgeMs < this.#options.clock.mono() - at;
+  }
+
   /** Whether keys may be accepted: a withdrawal longer ago than the bound would be known. */
   get canTrustKeys(): boolean {
     return this.proofAgeMs < this.#options.withdrawnKeyMs - KEY_USE_MARGIN_MS;
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -31,7 +31,8 @@
 
   readonly spec: ItemSpec;
 
-  readonly isSingleVersion: boolean;
+  /** When this process first knew of the item. */
+  readonly knownSince: MonoTime;
 
   /** Equal for items of other submissions that ask an engine for the same output. */
   readonly fingerprint: ItemFingerprint;
@@ -47,6 +48,8 @@
 
   #isStopped = false;
 
+  #isSingleVersion = false;
+
   #events: string[] = [];
 
   #lastNumber: number | undefined;
@@ -60,12 +63,12 @@
   /**
    * @param submission - the item's submission
    * @param spec - the item
-   * @param isSingleVersion - whether one weight version must generate the whole output
+   * @param knownSince - when this process first knew of the item
    */
-  constructor(submission: Submission, spec: ItemSpec, isSingleVersion: boolean) {
+  constructor(submission: Submission, spec: ItemSpec, knownSince: MonoTime) {
     this.submission = submission;
     this.spec = spec;
-    this.isSingleVersion = isSingleVersion;
+    this.knownSince = knownSince;
     this.fingerprint = createFingerprint(submission.terms, spec);
   }
 
@@ -94,7 +97,7 @@
 
   /** The only weight version that may go on with the output; undefined for any. */
   get requiredVersion(): WeightVersion | undefined {
-    return this.isSingleVersion ? this.#versions[0] : undefined;
+    return this.#isSingleVersion ? this.#versions[0] : undefined;
   }
 
   /** The output so far; further events are added to the same arrays. */
@@ -148,14 +151,22 @@
     this.#startsAfter = (clock.mono() + ms) as MonoTime;
   }
 
+  /**
+   * Sets whether one weight version must generate the whole output, as its route says, before each
+   * run. Discards an output that several have generated.
+   */
+  setSingleVersion(isSingleVersion: boolean): void {
+    this.#isSingleVersion = isSingleVersion;
+    if (isSingleVersion && this.#versions.length > 1) this.restart();
+  }
+
   /**
    * Starts from output that an earlier run of the same request left, if its weight versions fit.
    *
    * @returns whether the output was adopted
    */
   resumeFrom(output: PartialOutput): boolean {
-    const isMixed = this.isSingleVersion && output.versions.length > 1;
-    if (isMixed || output.versions.some((version) => version < this.leastVersion)) return false;
+    if (output.versions.some((version) => version < this.leastVersion)) return false;
     this.#events = [...output.events];
     this.#lastNumber = output.lastNumber;
     this.#versions = [...output.versions];
@@ -183,7 +194,7 @@
     if (event.number !== (last ?? event.number - 1) + 1) return 'gap';
     if (version < this.leastVersion) return 'too-old';
     const isNew = !this.#versions.includes(version);
-    if (isNew && this.isSingleVersion && this.#versions.length > 0) return 'mixed';
+    if (isNew && this.#isSingleVersion && this.#versions.length > 0) return 'mixed';
     if (isNew) this.#versions.push(version);
     this.#events.push(event.data);
     this.#lastNumber = event.number;
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -201,11 +201,10 @@
       const [loaded] = await Promise.all([itemLoader.load(submission), this.#outputsRecovered]);
       if (loaded.isOk()) {
         if (!this.#isActive || !submission.isOpen) return;
-        const route = this.#findRoute(submission);
         order.addSubmission(submission, loaded.value);
         loaded.value
           .filter((item) => !submission.hasResult(item.id))
-          .forEach((item) => this.#addItem(submission, item, route));
+          .forEach((item) => this.#addItem(submission, item));
         this.schedule();
         return;
       }
@@ -218,10 +217,11 @@
     }
   }
 
-  #addItem(submission: Submission, spec: ItemSpec, route: ServingRoute | undefined): void {
+  #addItem(submission: Submission, spec: ItemSpec): void {
     const key = createTaskKey(submission, spec.id);
     if (this.#tasks.has(key)) return;
-    const task = new ItemTask(submission, spec, route?.isSingleVersion ?? false);
+    const task = new ItemTask(submission, spec, this.#options.clock.mono());
+    task.setSingleVersion(this.#runTracker.findRoute(task)?.isSingleVersion ?? false);
     const output = this.#partialOutputs.take(task.fingerprint);
     if (output) task.resumeFrom(output);
     const handoverMs = submission.handoverDeadline(spec.id) - this.#options.clock.wall();
@@ -262,14 +262,9 @@
   #placeItems(): void {
     if (!this.#isActive || this.#isDraining || this.#waiting.size === 0) return;
     const now = this.#options.clock.mono();
-    const ready = [...this.#waiting].filter((task) => task.isReady(now));
     const tasksByModel = new Map<ModelId, ItemTask[]>();
-    const routed = new Set(ready.filter((task) => this.#runTracker.findRoute(task)));
-    // An item without a route can never run: its route was withdrawn.
-    ready
-      .filter((task) => !routed.has(task))
-      .forEach((task) => this.#abandon(task, 'route-withdrawn'));
-    this.#options.order.sort([...routed]).forEach((task) => {
+    const routed = [...this.#waiting].filter((task) => task.isReady(now) && this.#applyRoute(task));
+    this.#options.order.sort(routed).forEach((task) => {
       const model = getModel(task);
       const tasks = tasksByModel.get(model) ?? [];
       tasksByModel.set(model, tasks);
@@ -278,6 +273,20 @@
     tasksByModel.forEach((tasks, model) => this.#placeItemsOfModel(model, tasks));
   }
 
+  /**
+   * Looks up the route of an item that waits. An item whose route was withdrawn is abandoned; one
+   * whose route may only be unread goes on waiting.
+   *
+   * @returns whether it has a route
+   */
+  #applyRoute(task: ItemTask): boolean {
+    const route = this.#runTracker.findRoute(task);
+    if (!route && this.#options.config.isConfirmedSince(task.knownSince)) {
+      this.#abandon(task, 'route-withdrawn');
+    }
+    return route !== undefined;
+  }
+
   #placeItemsOfModel(model: ModelId, tasks: readonly ItemTask[]): void {
     const [first] = tasks;
     const engines = first ? this.#runTracker.listEngines(first) : [];
@@ -385,10 +394,6 @@
     this.#removeTask(task);
   }
 
-  #findRoute({ terms }: Submission): ServingRoute | undefined {
-    return this.#options.config.current?.findRoute(terms.host, terms.path);
-  }
-
   /** Which configuration is in use, and how long ago it was confirmed, for log lines. */
   #describeConfig(): { configVersion: number | undefined; configProofAgeMs: Millis } {
     const { config } = this.#options;
--- a/packages/gateway/test/config-tracker.test.ts
+++ b/packages/gateway/test/config-tracker.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '@hibiscushill/base';
+import { ManualClock, type MonoTime } from '@hibiscushill/base';
 import { describe, expect, it } from 'vitest';
 
 import { ConfigTracker } from '../src/config-tracker';
@@ -45,6 +45,27 @@
   });
 });
 
+describe('a configuration that was confirmed 300 ms ago', () => {
+  const clock = new ManualClock(1_000);
+
+  function createConfirmedTracker(): ConfigTracker {
+    const tracker = new ConfigTracker({ clock, metrics: createMetrics(), withdrawnKeyMs: 5_000 });
+    tracker.setFreshnessSource({ proofAgeMs: 300 });
+    return tracker;
+  }
+
+  it('includes what other processes acted on before that, and perhaps nothing later', () => {
+    const tracker = createConfirmedTracker();
+    tracker.updateConfig(createConfig(1));
+    expect(tracker.isConfirmedSince(699 as MonoTime)).toBe(true);
+    expect(tracker.isConfirmedSince(700 as MonoTime)).toBe(false);
+  });
+
+  it('says nothing if it holds no configuration', () => {
+    expect(createConfirmedTracker().isConfirmedSince(0 as MonoTime)).toBe(false);
+  });
+});
+
 describe('the lookup of routes', () => {
   const short = createRoute({ name: 'short', pathPrefix: '/a/' });
   const long = createRoute({ name: 'long', pathPrefix: '/a/b/' });
--- a/packages/gateway/test/progress-store.test.ts
+++ b/packages/gateway/test/progress-store.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock, type Offset, type WeightVersion } from '@hibiscushill/base';
+import { ManualClock, type MonoTime, type Offset, type WeightVersion } from '@hibiscushill/base';
 import { MemoryLog } from '@hibiscushill/log';
 import fc from 'fast-check';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -35,7 +35,7 @@
 }
 
 function createTask(): ItemTask {
-  return new ItemTask(SUBMISSION, createItem('i1'), false);
+  return new ItemTask(SUBMISSION, createItem('i1'), 0 as MonoTime);
 }
 
 function addEvents(task: ItemTask, count: number, by: WeightVersion = version(1)): void {
@@ -120,7 +120,7 @@
   it('are saved within the size of one record, the longest first', async () => {
     const store = createStore();
     const tasks = Array.from({ length: 30 }, (_, index) => {
-      const task = new ItemTask(SUBMISSION, createItem(`i${index}`), false);
+      const task = new ItemTask(SUBMISSION, createItem(`i${index}`), 0 as MonoTime);
       for (let number = 1; number <= 10 + index; number += 1) {
         task.addEvent({ number, data: 'x'.repeat(400), version: undefined }, version(1));
       }
@@ -136,7 +136,7 @@
 
   it('that exceed one record are saved in several, and do not delay the others', async () => {
     const store = createStore();
-    const large = new ItemTask(SUBMISSION, createItem('large'), false);
+    const large = new ItemTask(SUBMISSION, createItem('large'), 0 as MonoTime);
     const events = Array.from({ length: 24 }, (_, index) => `${index} ${'\u0001'.repeat(2_500)}`);
     events.forEach((data, index) => {
       large.addEvent({ number: index + 1, data, version: undefined }, version(1));
