Take an item's restriction to one weight version from its route at each run

Whether one weight version must generate an item's whole output was looked up once, when the item was loaded, and counted as false when the configuration had not been read yet: the holder then joined events of several versions, which a route for single versions forbids.

--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -221,7 +221,6 @@
     const key = createTaskKey(submission, spec.id);
     if (this.#tasks.has(key)) return;
     const task = new ItemTask(submission, spec, this.#options.clock.mono());
-    task.setSingleVersion(this.#runTracker.findRoute(task)?.isSingleVersion ?? false);
     const output = this.#partialOutputs.take(task.fingerprint);
     if (output) task.resumeFrom(output);
     const handoverMs = submission.handoverDeadline(spec.id) - this.#options.clock.wall();
@@ -274,14 +273,15 @@
   }
 
   /**
-   * Looks up the route of an item that waits. An item whose route was withdrawn is abandoned; one
+   * Applies the route of an item that waits. An item whose route was withdrawn is abandoned; one
    * whose route may only be unread goes on waiting.
    *
    * @returns whether it has a route
    */
   #applyRoute(task: ItemTask): boolean {
     const route = this.#runTracker.findRoute(task);
-    if (!route && this.#options.config.isConfirmedSince(task.knownSince)) {
+    if (route) task.setSingleVersion(route.isSingleVersion);
+    else if (this.#options.config.isConfirmedSince(task.knownSince)) {
       this.#abandon(task, 'route-withdrawn');
     }
     return route !== undefined;
