--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,3 +44,5 @@
 export type { OutlierEjectorOptions, TargetOutcome } from './outlier-ejector';
 
 export { IndexedHeap } from './indexed-heap';
+
+export { LeavingTargets } from './leaving-targets';
