Send nothing new to a target that says in a response that it is leaving

What callers saw: nothing yet; a process that can't read the list of targets went on sending to a target that had told it that it leaves.

Cause: only the list said that a target leaves; responses weren't read for it.

The directory of targets asks LeavingTargets beside the list whenever targets are chosen, and closes idle connections. Callers get targets_leaving (3009) where all targets of a service leave.

--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -97,6 +97,12 @@
     'Retry.',
   ),
   config_stale: defineCode(3008, 503, 'The process cannot confirm its configuration.', 'Retry.'),
+  targets_leaving: defineCode(
+    3009,
+    503,
+    'All targets of the service are leaving.',
+    'Wait, then retry.',
+  ),
   outcome_unknown: defineCode(
     4001,
     502,
--- a/packages/gateway/bench/placing.ts
+++ b/packages/gateway/bench/placing.ts
@@ -71,7 +71,7 @@
 
 function measureSummaries(engines: number): Millis {
   const clock = new ManualClock(1_000);
-  const directory = new TargetDirectory({ clock });
+  const directory = new TargetDirectory({ clock, metrics: createMetrics() });
   const engineTracker = new EngineTracker(clock, directory);
   const config = new ConfigTracker({ clock, metrics: createMetrics(), withdrawnKeyMs: 5_000 });
   const tracker = new RunTracker(engineTracker, config);
--- a/packages/gateway/src/engine-tracker.ts
+++ b/packages/gateway/src/engine-tracker.ts
@@ -49,7 +49,12 @@
     this.#directory = directory;
   }
 
-  /** Lists a service's engines that are registered and not draining. */
+  /** Tells whether an engine may get new runs and orders. */
+  isUsable(engine: TargetRegistration): boolean {
+    return !this.#directory.isLeaving(engine);
+  }
+
+  /** Lists a service's engines that are registered and not leaving. */
   listUsable(service: ServiceId): TargetRegistration[] {
     return this.#directory.listUsable(service);
   }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -72,8 +72,10 @@
   readonly readConfig: (tracker: ConfigTracker) => KeyedRecordHandler;
   /** Creates the reader that decodes targets' registrations into the directory. */
   readonly readTargets: (directory: TargetDirectory) => KeyedRecordHandler;
-  readonly client: TargetClient;
-  readonly engineControl: EngineControl;
+  /** Creates the client of targets, which records the targets that say that they are leaving. */
+  readonly createClient: (directory: TargetDirectory) => TargetClient;
+  /** Creates the control of engines, which records the same. */
+  readonly createEngineControl: (directory: TargetDirectory) => EngineControl;
   readonly usageSink: UsageSink;
 }
 
@@ -149,7 +151,7 @@
     const createPartLogger = (prefix: string): Logger => rateLimiter.wrap(createLogger(prefix));
     this.#logger = createPartLogger('gateway.node');
     this.#config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: bounds.withdrawnKeyMs });
-    this.#directory = new TargetDirectory({ clock });
+    this.#directory = new TargetDirectory({ clock, metrics });
     this.#targetStats = new TargetStats(clock);
     this.#configTail = this.#createKeyedTail(options.configLog, options.readConfig(this.#config));
     this.#targetTail = this.#createKeyedTail(
@@ -173,10 +175,12 @@
       logger: createPartLogger('gateway.duty'),
       tail: this.#dutyTail,
     });
-    const forwarder = this.#createForwarder(createPartLogger);
+    const client = options.createClient(this.#directory);
+    const forwarder = this.#createForwarder(createPartLogger, client);
     const payloads = new PayloadStore(log);
     const shared = {
       ...options,
+      client,
       config: this.#config,
       submissions: this.#submissions,
       payloads,
@@ -197,6 +201,7 @@
       dutyTail: this.#dutyTail,
       duty: this.#duty,
       directory: this.#directory,
+      engineControl: options.createEngineControl(this.#directory),
       forwarder,
     });
   }
@@ -260,10 +265,14 @@
     return new KeyedTail({ log, clock, random, metrics }, reader);
   }
 
-  #createForwarder(createPartLogger: (prefix: string) => Logger): RequestForwarder {
+  #createForwarder(
+    createPartLogger: (prefix: string) => Logger,
+    client: TargetClient,
+  ): RequestForwarder {
     const { random, zone } = this.#options;
     return new RequestForwarder({
       ...this.#options,
+      client,
       logger: createPartLogger('gateway.request'),
       directory: this.#directory,
       stats: this.#targetStats,
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -13,6 +13,8 @@
   readonly body?: Uint8Array;
   /** Whether it needs a new connection, since it can't be repeated if a pooled one is closed. */
   readonly isFresh?: boolean;
+  /** Asked after the response: whether to pool the connection; by default it is pooled. */
+  readonly mayKeep?: () => boolean;
 }
 
 /** Why an exchange ended without a complete response. */
@@ -84,7 +86,7 @@
   send(req: ExchangeRequest, sink: ExchangeSink): AbortExchange {
     const connection = this.#acquire(req);
     const handler = new ExchangeHandler(connection, sink, (isReusable) => {
-      if (isReusable) this.#release(req.address, connection);
+      if (isReusable && (req.mayKeep?.() ?? true)) this.#release(req.address, connection);
       else connection.client.destroy().catch(() => undefined);
     });
     // The library reports a request that it can't write during this call, before the caller has got
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,7 +27,7 @@
 } from './control-port';
 
 export { TargetDirectory } from './target-directory';
-export type { TargetRegistration } from './target-directory';
+export type { LeaveNotice, TargetRegistration } from './target-directory';
 
 export { Gateway } from './gateway';
 export type { GatewayOptions } from './gateway';
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -316,7 +316,13 @@
       return { type: 'refused', answer };
     }
     if (!this.#req.mayRun()) return this.#refuse('config_stale', OTHER_PROCESS_RETRY_MS);
-    return this.#refuse('no_target', NO_TARGET_RETRY_MS);
+    const code = this.#areAllTargetsLeaving() ? 'targets_leaving' : 'no_target';
+    return this.#refuse(code, NO_TARGET_RETRY_MS);
+  }
+
+  #areAllTargetsLeaving(): boolean {
+    const targets = this.#options.directory.listAll(this.#service);
+    return targets.length > 0 && targets.every((one) => this.#options.directory.isLeaving(one));
   }
 
   #refuse(code: CodeName, retryMs: Millis): ForwardResult {
--- a/packages/gateway/src/target-directory.ts
+++ b/packages/gateway/src/target-directory.ts
@@ -2,8 +2,10 @@
 import {
   type Clock,
   type Logger,
+  type Metrics,
   type Millis,
   type MonoTime,
+  type RequestId,
   type ServiceId,
   type TargetId,
   type WallTime,
@@ -11,6 +13,7 @@
   type ZoneId,
   createLogger,
 } from '@hibiscushill/base';
+import { LeavingTargets } from '@hibiscushill/routing';
 
 import type { ModelId } from './serving-config';
 
@@ -33,9 +36,20 @@
   readonly heartbeat: number;
 }
 
-/** The clock of a target directory. */
+/** A target's statement, in a response, that it is leaving. */
+export interface LeaveNotice {
+  /** The target's registration when the request was sent. */
+  readonly target: TargetRegistration;
+  /** The request that it responded to; undefined for the gateway's own reports and orders. */
+  readonly request: RequestId | undefined;
+  /** When that request was sent. */
+  readonly sentAt: MonoTime;
+}
+
+/** The clock and metrics of a target directory. */
 export interface TargetDirectoryOptions {
   readonly clock: Clock;
+  readonly metrics: Metrics;
 }
 
 // A live target whose registration expired in an outage registers again within two seconds
@@ -60,8 +74,12 @@
 
   readonly #targets = new Map<TargetId, KnownTarget>();
 
+  readonly #leaving = new LeavingTargets<number>();
+
   readonly #listeners = new Set<(target: TargetId) => void>();
 
+  readonly #leaveListeners = new Set<(target: TargetRegistration) => void>();
+
   #isOutage = (): boolean => false;
 
   /** @param options - the clock */
@@ -83,6 +101,31 @@
     this.#listeners.add(handle);
   }
 
+  /** Registers a function that is called with each target that says that it is leaving. */
+  onLeaving(handle: (target: TargetRegistration) => void): void {
+    this.#leaveListeners.add(handle);
+  }
+
+  /** Records that a target has said that it is leaving; it gets no new requests from then on. */
+  recordLeaving({ target, request, sentAt }: LeaveNotice): void {
+    if (!this.#leaving.record(target.id, getIncarnation(target))) return;
+    const { clock, metrics } = this.#options;
+    metrics.count('target.leaving');
+    this.#logger.info('A target said in a response that it is leaving.', {
+      target: target.id,
+      startedAt: target.startedAt,
+      request,
+      ageMs: Math.round(clock.mono() - sentAt),
+    });
+    this.#leaveListeners.forEach((handle) => handle(target));
+    this.#notify(target.id);
+  }
+
+  /** Tells whether a target, in the incarnation of its registration, is leaving. */
+  isLeaving(target: TargetRegistration): boolean {
+    return target.isDraining || this.#leaving.isLeaving(target.id, getIncarnation(target));
+  }
+
   /**
    * Records a registration, unless a newer one of the target is known.
    *
@@ -92,6 +135,12 @@
     const known = this.#targets.get(entry.id)?.entry;
     if (known && isOlder(entry, known)) return;
     this.#targets.set(entry.id, { entry, usableUntil: undefined });
+    if (known && known.startedAt !== entry.startedAt && this.isLeaving(known)) {
+      this.#logger.info('A target that was leaving has started again.', {
+        target: entry.id,
+        startedAt: entry.startedAt,
+      });
+    }
     if (!known || known.isDraining !== entry.isDraining || known.startedAt !== entry.startedAt) {
       this.#logger.info('A target registered.', {
         target: entry.id,
@@ -109,7 +158,7 @@
   remove(id: TargetId): void {
     const known = this.#targets.get(id);
     if (!known || known.usableUntil !== undefined) return;
-    const isLapse = this.#isOutage() && !known.entry.isDraining;
+    const isLapse = this.#isOutage() && !this.isLeaving(known.entry);
     this.#logger.info('The registration of a target was removed.', { target: id, isLapse });
     if (isLapse) {
       const usableUntil = (this.#options.clock.mono() + EXPIRED_REGISTRATION_GRACE_MS) as MonoTime;
@@ -125,7 +174,7 @@
     [...this.#targets.keys()].filter((id) => !ids.has(id)).forEach((id) => this.remove(id));
   }
 
-  /** Finds a registered target, also a draining one. */
+  /** Finds a registered target, also one that is leaving. */
   find(id: TargetId): TargetRegistration | undefined {
     const known = this.#targets.get(id);
     return known && this.#isRegistered(known) ? known.entry : undefined;
@@ -133,10 +182,10 @@
 
   /** Lists a service's targets that accept new requests. */
   listUsable(service: ServiceId): TargetRegistration[] {
-    return this.listAll(service).filter((entry) => !entry.isDraining);
+    return this.listAll(service).filter((entry) => !this.isLeaving(entry));
   }
 
-  /** Lists a service's targets, including draining ones. */
+  /** Lists a service's targets, including those that are leaving. */
   listAll(service: ServiceId): TargetRegistration[] {
     return [...this.#targets.values()]
       .filter((known) => known.entry.service === service && this.#isRegistered(known))
@@ -152,6 +201,11 @@
   }
 }
 
+/** Identifies an incarnation of a target; targets that don't state their start have one. */
+function getIncarnation({ startedAt }: TargetRegistration): number {
+  return startedAt ?? 0;
+}
+
 function isOlder(entry: TargetRegistration, known: TargetRegistration): boolean {
   const born = entry.startedAt ?? 0;
   const knownBorn = known.startedAt ?? 0;
--- a/packages/gateway/src/weight-controller.ts
+++ b/packages/gateway/src/weight-controller.ts
@@ -118,6 +118,7 @@
     const { model, version, mode } = change;
     this.#recordVersions(engine, report.value.versions);
     if ((report.value.versions.get(model) ?? 0) >= version) return;
+    if (!engineTracker.isUsable(engine)) return;
     engineTracker.markLoading(engine, model, LOADING_TIMEOUT_MS);
     if (change.movesRuns) runner.moveRuns(engine.id, model);
     const outcome = await this.#sendOrder(engine, {
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -45,7 +45,7 @@
   mayRun = true;
   const metrics = createMetrics();
   const random = new RandomSource(1);
-  const directory = new TargetDirectory({ clock });
+  const directory = new TargetDirectory({ clock, metrics: createMetrics() });
   directory.recordRegistration(createTarget('t1'));
   directory.recordRegistration(createTarget('t2'));
   stats = new TargetStats(clock);
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -93,7 +93,7 @@
   const config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: 5_000 });
   const route = createRoute({ goalMs: 157, timeoutMs: 1_500 });
   config.updateConfig(createConfig(1, [route]));
-  const directory = new TargetDirectory({ clock });
+  const directory = new TargetDirectory({ clock, metrics: createMetrics() });
   const stats = new TargetStats(clock);
   const targets = ['t1', 't2', 't3'].map((id) => createTarget(id, { slots: SLOTS }));
   targets.forEach((target) => directory.recordRegistration(target));
--- a/packages/gateway/test/run-tracker.test.ts
+++ b/packages/gateway/test/run-tracker.test.ts
@@ -24,7 +24,7 @@
 function createRunTracker(cases: readonly EngineCase[]): RunTracker {
   const clock = new ManualClock(1_000);
   const config = new ConfigTracker({ clock, metrics: createMetrics(), withdrawnKeyMs: 5_000 });
-  const directory = new TargetDirectory({ clock });
+  const directory = new TargetDirectory({ clock, metrics: createMetrics() });
   const engineTracker = new EngineTracker(clock, directory);
   const tracker = new RunTracker(engineTracker, config);
   cases.forEach((one, index) => {
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -81,7 +81,7 @@
   });
   confirmedAt = -Infinity as MonoTime;
   if (hasConfig) confirmConfig([ROLLOUT_ROUTE]);
-  directory = new TargetDirectory({ clock });
+  directory = new TargetDirectory({ clock, metrics: createMetrics() });
   engineTracker = new EngineTracker(clock, directory);
   payloads = new PayloadStore(log);
   const stats = new TargetStats(clock);
--- a/packages/gateway/test/target-directory.test.ts
+++ b/packages/gateway/test/target-directory.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import { TargetDirectory } from '../src/target-directory';
-import { SERVICE, createTarget } from './support';
+import { SERVICE, createMetrics, createTarget } from './support';
 
 const ID = 't1' as TargetId;
 
@@ -13,7 +13,7 @@
 beforeEach(() => {
   clock = new ManualClock(1_000);
   isOutage = false;
-  directory = new TargetDirectory({ clock });
+  directory = new TargetDirectory({ clock, metrics: createMetrics() });
   directory.setOutageCheck(() => isOutage);
 });
 
--- a/packages/log/src/guarded-sender.ts
+++ b/packages/log/src/guarded-sender.ts
@@ -141,7 +141,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of res) chunks.push(chunk as Buffer);
     const { statusCode = 0, headers } = res;
-    return ok(createResponse(statusCode, headers['retry-after'], Buffer.concat(chunks)));
+    const body = Buffer.concat(chunks);
+    return ok({ ...createResponse(statusCode, headers['retry-after'], body), headers });
   } catch (error) {
     return err({ ...classifyConnectionError(error), run: 'may-have-run' });
   } finally {
--- a/packages/log/src/http-transport.ts
+++ b/packages/log/src/http-transport.ts
@@ -47,6 +47,8 @@
 export interface HttpResponse {
   readonly status: number;
   readonly retryAfterMs?: Millis;
+  /** The headers, by their names in lower case; only responses to guarded requests have them. */
+  readonly headers?: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Uint8Array;
 }
 
