Report a call to the log as unknown when any of its attempts may have run

What callers could see: a submission refused with 503, which promises that no item runs, while its record was written by a relay whose response was lost.

Cause: after a relay that brought no response, the refusal of the direct route or of a later relay was returned for the whole call.

--- a/packages/log/src/relay-fallback-transport.ts
+++ b/packages/log/src/relay-fallback-transport.ts
@@ -68,6 +68,8 @@
   async #send(req: HttpRequest): Promise<Result<HttpResponse, Failure>> {
     const { clock, direct, relays } = this.#options;
     let result: Result<HttpResponse, Failure> | undefined;
+    // A later refusal says nothing about an earlier attempt that brought no response.
+    let unknown: Result<HttpResponse, Failure> | undefined;
     if (clock.mono() >= this.#relayUntil) {
       result = await direct.send(req);
       if (isAvailable(result) || req.signal?.aborted) {
@@ -83,12 +85,14 @@
         this.#recordRoute(true);
         return relayed;
       }
-      if (req.signal?.aborted) return relayed;
+      if (mayHaveRun(relayed)) unknown ??= relayed;
+      if (req.signal?.aborted) return unknown ?? relayed;
     }
-    if (result) return result;
+    if (result) return unknown ?? result;
     // No relay reaches the log either, so the direct route is tried again at once.
     this.#relayUntil = -Infinity as MonoTime;
-    return direct.send(req);
+    const last = await direct.send(req);
+    return isAvailable(last) ? last : (unknown ?? last);
   }
 
   /** Whether the last successful request went through a relay. */
@@ -131,6 +135,11 @@
   }
 }
 
+/** Tells whether a request without a response may have been executed. */
+function mayHaveRun(result: Result<HttpResponse, Failure>): boolean {
+  return result.isErr() && result.error.run === 'may-have-run';
+}
+
 /** Tells whether the log responded, with anything but 429 or 503. */
 function isAvailable(result: Result<HttpResponse, Failure>): boolean {
   return result.isOk() && createStatusFailure(result.value).code !== 'platform_down';
--- a/packages/log/test/relay-fallback-transport.test.ts
+++ b/packages/log/test/relay-fallback-transport.test.ts
@@ -88,6 +88,23 @@
     expect((await transport.send(REQUEST))._unsafeUnwrap().status).toBe(503);
   });
 
+  it('does not report a request as not run that a relay may have sent on', async () => {
+    direct.respond = respondRefused;
+    const [first, second] = relays;
+    if (first) first.respond = failSilent;
+    if (second) second.respond = respondRefused;
+    expect((await transport.send(REQUEST))._unsafeUnwrapErr().run).toBe('may-have-run');
+  });
+
+  it('does not report it so either while it uses relays first', async () => {
+    direct.respond = respondRefused;
+    await transport.send(REQUEST);
+    const [first, second] = relays;
+    if (first) first.respond = failSilent;
+    if (second) second.respond = failSilent;
+    expect((await transport.send(REQUEST))._unsafeUnwrapErr().run).toBe('may-have-run');
+  });
+
   it('does not use a relay after a response other than 429 or 503', async () => {
     direct.respond = () => ok({ status: 410, body: new Uint8Array() });
     expect((await transport.send(REQUEST))._unsafeUnwrap().status).toBe(410);
