Refuse a request for good only by a configuration that was read recently

Such a process now answers config_stale (503, not run, Retry-After), so that the next try lands elsewhere.

--- a/packages/gateway/src/config-tracker.ts
+++ b/packages/gateway/src/config-tracker.ts
@@ -27,6 +27,8 @@
 
 // A request reaches its target within less than this after its key was checked.
 const KEY_USE_MARGIN_MS = 500;
+// Reads confirm the configuration twice in this time. Changes are to apply within two seconds.
+const MAX_DENIAL_AGE_MS = 2_000;
 // Once the configuration was confirmed longer ago than this fraction of the bound on withdrawn
 // keys, callers are better sent to another process.
 const MAX_READY_AGE_FRACTION = 0.6;
@@ -78,6 +80,14 @@
     return this.proofAgeMs < this.#options.withdrawnKeyMs - KEY_USE_MARGIN_MS;
   }
 
+  /**
+   * Whether a request may be refused for good because its route or key is missing: one that was
+   * added would be known shortly after.
+   */
+  get canDeny(): boolean {
+    return this.#current !== undefined && this.proofAgeMs < MAX_DENIAL_AGE_MS;
+  }
+
   /** Whether callers should be sent to this process. */
   get isReady(): boolean {
     const staleMs = this.#options.withdrawnKeyMs * MAX_READY_AGE_FRACTION;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,13 @@
   readonly submissionService: SubmissionService;
 }
 
+/** What refusals for good tell their callers, by code. */
+const DENIALS = {
+  route_unknown: 'No route matches the host and path.',
+  key_missing: 'The request has no key.',
+  key_unknown: 'The key is not known.',
+} as const;
+
 /** The team that a request belongs to; undefined where no key is needed. */
 interface CallerAccess {
   readonly team: TeamId | undefined;
@@ -219,10 +226,7 @@
       };
     const route = current.findRoute(req.host, req.path);
     if (route) return { isOk: true, value: route };
-    return {
-      isOk: false,
-      answer: createGatewayAnswer('route_unknown', 'No route matches the host and path.'),
-    };
+    return { isOk: false, answer: this.#createDenial('route_unknown') };
   }
 
   #authenticate(route: ServingRoute | undefined, key: string | undefined): Outcome<CallerAccess> {
@@ -239,16 +243,25 @@
     if (!current.needsKeys || route?.isPublic) {
       return { isOk: true, value: { team: undefined, key: undefined } };
     }
-    if (!config.canTrustKeys) {
-      const detail = `The configuration was confirmed ${Math.round(config.proofAgeMs)} ms ago.`;
-      return { isOk: false, answer: this.#createUnreadyRefusal('config_stale', detail) };
-    }
-    if (key === undefined) {
-      return { isOk: false, answer: createGatewayAnswer('key_missing', 'The request has no key.') };
-    }
+    if (!config.canTrustKeys) return { isOk: false, answer: this.#createStaleRefusal() };
+    if (key === undefined) return { isOk: false, answer: this.#createDenial('key_missing') };
     const team = current.findTeam(key);
     if (team) return { isOk: true, value: { team: team.name, key } };
-    return { isOk: false, answer: createGatewayAnswer('key_unknown', 'The key is not known.') };
+    return { isOk: false, answer: this.#createDenial('key_unknown') };
+  }
+
+  /**
+   * Refuses a request for good, after which its caller doesn't try again; or for now, if what is
+   * missing may be in a configuration that wasn't read yet.
+   */
+  #createDenial(code: keyof typeof DENIALS): GatewayAnswer {
+    if (!this.#options.config.canDeny) return this.#createStaleRefusal();
+    return createGatewayAnswer(code, DENIALS[code]);
+  }
+
+  #createStaleRefusal(): GatewayAnswer {
+    const detail = `The configuration was confirmed ${Math.round(this.#options.config.proofAgeMs)} ms ago.`;
+    return this.#createUnreadyRefusal('config_stale', detail);
   }
 
   /** Whether a request that was authenticated earlier may still be sent to a target. */
--- a/packages/gateway/test/config-tracker.test.ts
+++ b/packages/gateway/test/config-tracker.test.ts
@@ -33,6 +33,17 @@
     expect(tracker.canTrustKeys).toBe(false);
   });
 
+  it('can tell that a route or key is missing only while it was confirmed recently', () => {
+    const tracker = createTracker();
+    const freshness = { proofAgeMs: 1_900 };
+    tracker.setFreshnessSource(freshness);
+    expect(tracker.canDeny).toBe(false);
+    tracker.updateConfig(createConfig(1));
+    expect(tracker.canDeny).toBe(true);
+    freshness.proofAgeMs = 2_100;
+    expect(tracker.canDeny).toBe(false);
+  });
+
   it('is ready only with a configuration that was confirmed recently', () => {
     const tracker = createTracker();
     const freshness = { proofAgeMs: 0 };
