Run items only by a configuration that includes the one that accepted them

What callers could see: items that run at the service from which their route had been moved, or outputs of two weight versions on a route that had begun to forbid that, when the holder of the control duty read the configuration later than the process that accepted the submission.

An accepted submission now names the version of the configuration by which it was accepted; the holder waits until it has read that version or a newer one, which also tells at once whether a missing route was withdrawn. Running items take changes of their route's restriction at once. Four of the five new tests failed before and pass; the fifth, on items that are being scored, guards the new code.

--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -152,12 +152,15 @@
   }
 
   /**
-   * Sets whether one weight version must generate the whole output, as its route says, before each
-   * run. Discards an output that several have generated.
+   * Sets whether one weight version must generate the whole output, as its route says.
+   *
+   * @returns false if the output was discarded since several have generated it
    */
-  setSingleVersion(isSingleVersion: boolean): void {
+  setSingleVersion(isSingleVersion: boolean): boolean {
     this.#isSingleVersion = isSingleVersion;
-    if (isSingleVersion && this.#versions.length > 1) this.restart();
+    if (!isSingleVersion || this.#versions.length <= 1) return true;
+    this.restart();
+    return false;
   }
 
   /**
--- a/packages/gateway/src/submission-records.ts
+++ b/packages/gateway/src/submission-records.ts
@@ -86,6 +86,7 @@
     leastVersion: numberSchema(),
     wantedGroups: z.number().optional(),
     submittedAt: numberSchema(),
+    configVersion: numberSchema().optional(),
     dueMs: z.number(),
     retentionMs: z.number(),
     itemCount: z.number().int().min(0),
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -94,6 +94,7 @@
     this.#options = options;
     this.#runTracker = new RunTracker(options.engineTracker, options.config);
     options.submissions.onChanged((change) => this.#onChange(change));
+    options.config.onChanged(() => this.#onConfigChanged());
   }
 
   get isActive(): boolean {
@@ -276,17 +277,34 @@
    * Applies the route of an item that waits. An item whose route was withdrawn is abandoned; one
    * whose route may only be unread goes on waiting.
    *
-   * @returns whether it has a route
+   * @returns whether it has a route by which it may run
    */
   #applyRoute(task: ItemTask): boolean {
     const route = this.#runTracker.findRoute(task);
+    if (!this.#hasReadConfigOf(task, route)) return false;
     if (route) task.setSingleVersion(route.isSingleVersion);
-    else if (this.#options.config.isConfirmedSince(task.knownSince)) {
-      this.#abandon(task, 'route-withdrawn');
-    }
+    else this.#abandon(task, 'route-withdrawn');
     return route !== undefined;
   }
 
+  /** Whether the configuration is at least as new as the one by which an item was accepted. */
+  #hasReadConfigOf({ submission, knownSince }: ItemTask, route: ServingRoute | undefined): boolean {
+    const { config } = this.#options;
+    const { configVersion } = submission.terms;
+    if (configVersion !== undefined) return (config.current?.version ?? 0) >= configVersion;
+    return route !== undefined || config.isConfirmedSince(knownSince);
+  }
+
+  /** Applies the current routes to running items. */
+  #onConfigChanged(): void {
+    new Set(this.#runTracker.runs.map((run) => run.task)).forEach((task) => {
+      const route = this.#runTracker.findRoute(task);
+      if (!route || task.setSingleVersion(route.isSingleVersion)) return;
+      this.#runTracker.listRunsOf(task).forEach((run) => run.cancel());
+    });
+    this.schedule();
+  }
+
   #placeItemsOfModel(model: ModelId, tasks: readonly ItemTask[]): void {
     const [first] = tasks;
     const engines = first ? this.#runTracker.listEngines(first) : [];
--- a/packages/gateway/src/submission-service.ts
+++ b/packages/gateway/src/submission-service.ts
@@ -101,7 +101,7 @@
     route: ServingRoute,
     team: TeamId | undefined,
   ): Promise<Outcome<void>> {
-    const { submissions, clock, metrics } = this.#options;
+    const { submissions, clock, metrics, config } = this.#options;
     if (submissions.find(spec.id)) return succeed();
     const terms = {
       id: spec.id,
@@ -113,6 +113,7 @@
       leastVersion: spec.leastVersion,
       wantedGroups: spec.wantedGroups,
       submittedAt: clock.wall(),
+      configVersion: config.current?.version,
       dueMs: route.resultsDueMs,
       retentionMs: route.retentionMs,
       itemCount: spec.items.length,
--- a/packages/gateway/src/submission.ts
+++ b/packages/gateway/src/submission.ts
@@ -2,7 +2,7 @@
 import type { Brand, Millis, RequestId, TeamId, WallTime, WeightVersion } from '@hibiscushill/base';
 import type { LogRecord } from '@hibiscushill/log';
 
-import type { ModelId } from './serving-config';
+import type { ModelId, ServingVersion } from './serving-config';
 import type { PayloadRef } from './payload-store';
 import {
   type AcceptedPayload,
@@ -30,6 +30,10 @@
   readonly leastVersion: WeightVersion;
   readonly wantedGroups: number | undefined;
   readonly submittedAt: WallTime;
+  /**
+   * The configuration by which it was accepted; undefined in records of builds that don't state it.
+   */
+  readonly configVersion?: ServingVersion | undefined;
   /** How long after its submission all results are due, in milliseconds. */
   readonly dueMs: Millis;
   /** How long after its submission an item may be abandoned, in milliseconds. */
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -3,6 +3,8 @@
   type MonoTime,
   type Offset,
   RandomSource,
+  type RequestId,
+  type ServiceId,
   type TargetId,
   type TeamId,
   type WallTime,
@@ -21,7 +23,7 @@
 import { RequestForwarder } from '../src/request-forwarder';
 import { ResultWriter } from '../src/result-writer';
 import { RewardCaller } from '../src/reward-caller';
-import type { ServingRoute } from '../src/serving-config';
+import type { ServingRoute, ServingVersion } from '../src/serving-config';
 import { SubmissionRegistry, type SubmissionId, type SubmissionTerms } from '../src/submission';
 import { LowestLatencyChooser } from '../src/target-chooser';
 import { TargetStats } from '../src/target-stats';
@@ -331,6 +333,66 @@
     expect(submissions.find(ID)?.results).toMatchObject([{ item: 'i1', state: 'dead' }]);
   });
 
+  it('starts no item by an older configuration than the one that accepted it', async () => {
+    const next = 'next-engines' as ServiceId;
+    directory.recordRegistration(createTarget('e2', { service: next }));
+    confirmConfig([ROLLOUT_ROUTE]);
+    await submit([createItem('i1')], { configVersion: 2 as ServingVersion });
+    await placeItems();
+    expect(client.calls).toEqual([]);
+    confirmConfig([{ ...ROLLOUT_ROUTE, backends: [{ service: next, weight: 1 }] }]);
+    await placeItems();
+    expect(runningAt('e2')).toEqual(['i1']);
+    expect(runningAt('e1')).toEqual([]);
+  });
+
+  it('abandons an item whose route is missing from a newer one, without another read', async () => {
+    confirmConfig([ROLLOUT_ROUTE]);
+    confirmConfig([]);
+    await submit([createItem('i1')], { configVersion: 1 as ServingVersion });
+    await placeItems();
+    expect(submissions.find(ID)?.results).toMatchObject([{ item: 'i1', state: 'dead' }]);
+  });
+
+  it('ends a run whose output mixes weight versions once its route forbids that', async () => {
+    confirmConfig([ROLLOUT_ROUTE]);
+    await submit([createItem('i1')]);
+    const [call] = client.openCalls;
+    call?.stream(1, ['a']);
+    call?.stream(2, ['b'], { version: version(2) });
+    expect(call?.isAborted).toBe(false);
+    confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
+    expect(call?.isAborted).toBe(true);
+    await placeItems();
+    expect(client.openCalls[0]?.call.resumeAfter).toBeUndefined();
+  });
+
+  it('keeps the output of an item that is being scored when its route changes', async () => {
+    confirmConfig([ROLLOUT_ROUTE]);
+    const reward = { id: 'r1' as RequestId, host: 'a.example', path: '/a/r', body: '' };
+    await submit([createItem('i1', { reward })]);
+    const [call] = client.openCalls;
+    call?.stream(1, ['a']);
+    call?.stream(2, ['b'], { version: version(2) });
+    call?.sink.onEnd();
+    await runPendingCallbacks();
+    confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
+    client.calls.find((one) => one.call.id === reward.id)?.respond('', { receipt: 'score' });
+    await readLog();
+    const [result] = submissions.find(ID)?.results ?? [];
+    expect(result).toMatchObject({ state: 'complete', versions: [1, 2], score: 'score' });
+  });
+
+  it('mixes no weight versions once the route of a run forbids that', async () => {
+    confirmConfig([ROLLOUT_ROUTE]);
+    await submit([createItem('i1')]);
+    const [call] = client.openCalls;
+    call?.stream(1, ['a']);
+    confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
+    call?.stream(2, ['b'], { version: version(2) });
+    expect(call?.isAborted).toBe(true);
+  });
+
   it('mixes no weight versions on a route that it reads after the submission', async () => {
     await submit([createItem('i1')]);
     await placeItems();
