Count failures against an item only from responses that name it

What callers could see: an item listed as dead after a response that was not its own, since 422 and 500 counted also without an id. Targets repeat the id of the request that they answer; a failure without one is now a broken run. Both new tests failed before and pass.

--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -214,6 +214,8 @@
 function classifyErrorStatus(head: TargetResponseHead): RunOutcome {
   if (head.status === STATUS_MISDIRECTED) return 'wrong-version';
   if (head.hasNotRun) return 'refused';
+  // A failure that names no request may be another one's, so it doesn't count against the item.
+  if (head.echo === undefined) return 'broken';
   if (head.status === STATUS_UNPROCESSABLE) return 'impossible';
   return head.status === STATUS_SERVER_ERROR ? 'server-error' : 'broken';
 }
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -273,6 +273,22 @@
     expect(submissions.find(ID)?.results).toMatchObject([{ state: 'dead' }]);
   });
 
+  it.each([422, 500])(
+    'does not count status %i against an item when the response names no request',
+    async (status) => {
+      directory.recordRegistration(createTarget('e1'));
+      runner.start();
+      await submit([createItem('i1')]);
+      for (let run = 0; run < 12; run += 1) {
+        client.openCalls[0]?.respond('', { status, echo: undefined });
+        clock.advance(5_000);
+        await readLog();
+      }
+      expect(client.calls.length).toBeGreaterThan(6);
+      expect(submissions.find(ID)?.results).toEqual([]);
+    },
+  );
+
   it('moves runs from an engine that will load weights to another, where they resume', async () => {
     directory.recordRegistration(createTarget('e1', { slots: 4 }));
     runner.start();
