Give up writing to the log in time to stop within the grace period

What operators could see: a process that is told to stop during an outage of the log doesn't exit and is killed, since it waits without end until its results and usage counts are written. Found by a test of leaving targets whose cleanup never ended.

Both writers are given up at 0.8 of the grace period, with a log line each.

--- a/packages/gateway/src/control-tasks.ts
+++ b/packages/gateway/src/control-tasks.ts
@@ -148,11 +148,19 @@
    * Waits until running items have ended, then writes what is pending to the log.
    *
    * @param drainMs - for how long running items may go on before they are stopped
+   * @param endsAt - when to give up, although the log may not have taken everything
    */
-  async finish(drainMs: Millis): Promise<void> {
-    if (this.#runner.isActive) await this.#runner.waitUntilIdle(drainMs);
-    await this.#writer.flush();
-    await this.#usageTracker.flush();
+  async finish(drainMs: Millis, endsAt: MonoTime): Promise<void> {
+    const { clock } = this.#options;
+    if (this.#runner.isActive) {
+      await this.#runner.waitUntilIdle(Math.min(drainMs, endsAt - clock.mono()));
+    }
+    const stop = new AbortController();
+    const flushed = Promise.all([this.#writer.flush(), this.#usageTracker.flush()]);
+    await Promise.race([flushed, clock.sleep(Math.max(0, endsAt - clock.mono()), stop.signal)]);
+    stop.abort();
+    this.#writer.stop();
+    this.#usageTracker.stop();
     this.#runner.stop();
   }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -100,6 +100,8 @@
 const MAX_TARGET_LIST_AGE_MS = 2_000;
 // The fraction of the shutdown time for which running items may go on.
 const DRAIN_GRACE_FRACTION = 0.6;
+// The fraction of the shutdown time after which what the log hasn't taken is given up.
+const STOP_GRACE_FRACTION = 0.8;
 // How long shutdown waits for reads of the log to end.
 const TAIL_STOP_TIMEOUT_MS = 500;
 const CLEANUP_INTERVAL_MS = 5_000;
@@ -247,9 +249,10 @@
     });
     this.gateway.stop();
     const drainMs = bounds.graceMs * DRAIN_GRACE_FRACTION;
+    const endsAt = (clock.mono() + bounds.graceMs * STOP_GRACE_FRACTION) as MonoTime;
     await this.#controlTasks.announceHandover(drainMs);
     await this.#duty.release();
-    await this.#controlTasks.finish(drainMs);
+    await this.#controlTasks.finish(drainMs, endsAt);
     await this.gateway.waitForRequests();
     this.#timers.forEach((timer) => clearInterval(timer));
     await Promise.all(
--- a/packages/gateway/src/result-writer.ts
+++ b/packages/gateway/src/result-writer.ts
@@ -37,6 +37,8 @@
 
   #writing: Promise<void> | undefined;
 
+  #isStopped = false;
+
   /** @param options - the log and the submissions that show which results it has */
   constructor(options: ResultWriterOptions) {
     this.#options = options;
@@ -53,10 +55,19 @@
     await this.#writing;
   }
 
+  /** Gives up the results that are not written, which the next holder's runs produce again. */
+  stop(): void {
+    this.#isStopped = true;
+    if (this.#pending.length === 0 && this.#writing === undefined) return;
+    this.#options.logger.warn('Results were given up at shutdown.', {
+      waiting: this.#pending.length,
+    });
+  }
+
   async #run(): Promise<void> {
     // Results that arrive in the same turn of the event loop go into the same record.
     await Promise.resolve();
-    while (this.#pending.length > 0) await this.#writeBatch();
+    while (this.#pending.length > 0 && !this.#isStopped) await this.#writeBatch();
     this.#writing = undefined;
   }
 
--- a/packages/gateway/src/usage-tracker.ts
+++ b/packages/gateway/src/usage-tracker.ts
@@ -44,6 +44,8 @@
 
   #writing: Promise<void> | undefined;
 
+  #isStopped = false;
+
   /** @param options - the log, the counts and where reports go */
   constructor(options: UsageTrackerOptions) {
     this.#options = options;
@@ -61,6 +63,12 @@
     await this.#writing;
   }
 
+  /** Gives up the counts that are not written. */
+  stop(): void {
+    this.#isStopped = true;
+    if (this.#writing) this.#options.logger.warn('Usage counts were given up at shutdown.');
+  }
+
   /** Forgets which windows were reported; called when the duty is gained. */
   forgetReported(): void {
     this.#reported.clear();
@@ -104,7 +112,7 @@
 
   async #writeCounts(): Promise<void> {
     const { clock, log, localCounts, metrics } = this.#options;
-    for (;;) {
+    while (!this.#isStopped) {
       await clock.sleep(FLUSH_INTERVAL_MS);
       const { windows, records } = localCounts.takeRecords();
       if (records.length === 0) break;
