Forget usage windows that can't be reported again

The counts of closed windows, this process's own counts and the list of reported windows were kept for ever, and a late record of a closed window opened it again. A window is now forgotten 64 windows before the newest closed one (320 s of 5 s windows; the log keeps 300 s). A forgotten window counts as fixed: no record opens or closes it again and it isn't due, so that it can't be reported with other counts, also when a holder's wall clock is behind. This process's own counts go once the window is fixed.

--- a/packages/gateway/src/usage-tracker.ts
+++ b/packages/gateway/src/usage-tracker.ts
@@ -50,6 +50,11 @@
     this.#startWindow = options.windowCounts.windowAt(options.clock.wall());
   }
 
+  /** How many windows are known to be reported or are in progress. */
+  get size(): number {
+    return this.#reported.size + this.#windowsInProgress.size;
+  }
+
   /** Counts a request that a target began to run. */
   count(team: TeamId, at: WallTime): void {
     this.#options.localCounts.count(this.#options.windowCounts.windowAt(at), team);
@@ -74,6 +79,9 @@
       windowCounts.firstWindow ?? this.#startWindow,
       last - REREPORTED_WINDOWS,
     );
+    [...this.#reported]
+      .filter((window) => window < first)
+      .forEach((window) => this.#reported.delete(window));
     for (let window = first; window <= last; window += 1) {
       if (!this.#reported.has(window) && !this.#windowsInProgress.has(window)) {
         this.#windowsInProgress.add(window);
@@ -103,9 +111,10 @@
   }
 
   async #writeCounts(): Promise<void> {
-    const { clock, log, localCounts, metrics } = this.#options;
+    const { clock, log, localCounts, windowCounts, metrics } = this.#options;
     for (;;) {
       await clock.sleep(FLUSH_INTERVAL_MS);
+      localCounts.forget((window) => windowCounts.isFixed(window));
       const { windows, records } = localCounts.takeRecords();
       if (records.length === 0) break;
       const done = await log.append('usage', records, { timeoutMs: APPEND_TIMEOUT_MS });
--- a/packages/gateway/src/window-counts.ts
+++ b/packages/gateway/src/window-counts.ts
@@ -27,6 +27,10 @@
 /** Fixes the counts of a window; the first such record of a window holds. */
 const ClosedSchema = z.object({ window: z.number().int(), counts: TeamCountsSchema });
 
+// A closed window is kept while it may be reported again or its records may be late. An older one is
+// fixed for good: it is neither reported nor closed again, so that its counts aren't needed.
+const KEPT_WINDOWS = 64;
+
 /** Sums up the counts of all processes. */
 export class WindowCounts {
   readonly windowMs: Millis;
@@ -37,6 +41,8 @@
 
   #firstWindow: number | undefined;
 
+  #firstKeptWindow = -Infinity;
+
   /** @param windowMs - the length of a window; windows begin at multiples of it since 1970 */
   constructor(windowMs: Millis) {
     this.windowMs = windowMs;
@@ -47,11 +53,21 @@
     return Math.floor(at / this.windowMs);
   }
 
-  /** The first window that a record names; undefined before any. */
+  /** The first window that a record names and that isn't forgotten; undefined before any. */
   get firstWindow(): number | undefined {
     return this.#firstWindow;
   }
 
+  /** How many windows are kept. */
+  get size(): number {
+    return this.#open.size + this.#closed.size;
+  }
+
+  /** Whether further records no longer change a window: it is closed, or older than those kept. */
+  isFixed(window: number): boolean {
+    return window < this.#firstKeptWindow || this.#closed.has(window);
+  }
+
   /** The counts of a closed window; undefined if it is open. */
   findClosed(window: number): TeamCounts | undefined {
     return this.#closed.get(window);
@@ -81,6 +97,7 @@
   }
 
   #applyCounted(body: z.infer<typeof CountedSchema>): void {
+    if (this.isFixed(body.window)) return;
     this.#extendFirst(body.window);
     const window = this.#open.get(body.window) ?? new Map<string, TeamCounts>();
     this.#open.set(body.window, window);
@@ -89,9 +106,20 @@
   }
 
   #applyClosed(window: number, counts: TeamCounts): void {
+    if (this.isFixed(window)) return;
     this.#extendFirst(window);
-    if (!this.#closed.has(window)) this.#closed.set(window, counts);
+    this.#closed.set(window, counts);
     this.#open.delete(window);
+    this.#forgetBefore(window - KEPT_WINDOWS);
+  }
+
+  #forgetBefore(first: number): void {
+    if (first <= this.#firstKeptWindow) return;
+    this.#firstKeptWindow = first;
+    this.#firstWindow = Math.max(this.#firstWindow ?? first, first);
+    [this.#open, this.#closed].forEach((windows) => {
+      [...windows.keys()].filter((one) => one < first).forEach((one) => windows.delete(one));
+    });
   }
 
   #extendFirst(window: number): void {
@@ -112,6 +140,19 @@
     this.#incarnation = incarnation;
   }
 
+  /** How many windows are kept. */
+  get size(): number {
+    return this.#counts.size;
+  }
+
+  /** Removes the counts of windows that further records don't change. */
+  forget(isFixed: (window: number) => boolean): void {
+    [...this.#counts.keys()].filter(isFixed).forEach((window) => {
+      this.#counts.delete(window);
+      this.#unwritten.delete(window);
+    });
+  }
+
   count(window: number, team: TeamId): void {
     const counts = this.#counts.get(window) ?? {};
     this.#counts.set(window, counts);
@@ -137,7 +178,9 @@
 
   /** Marks windows whose records have to be written again. */
   markUnwritten(windows: readonly number[]): void {
-    windows.forEach((window) => this.#unwritten.add(window));
+    windows
+      .filter((window) => this.#counts.has(window))
+      .forEach((window) => this.#unwritten.add(window));
   }
 }
 
--- a/packages/gateway/test/usage-tracker.test.ts
+++ b/packages/gateway/test/usage-tracker.test.ts
@@ -25,6 +25,7 @@
 let clock: ManualClock;
 let log: MemoryLog;
 let counts: WindowCounts;
+let localCounts: LocalCounts;
 let sink: RecordingSink;
 let tracker: UsageTracker;
 let read: number;
@@ -33,6 +34,7 @@
   clock = new ManualClock(50_000);
   log = new MemoryLog({ clock });
   counts = new WindowCounts(WINDOW_MS);
+  localCounts = new LocalCounts('p1' as IncarnationId);
   sink = new RecordingSink();
   read = 0;
   // The lease can't be renewed while the log is unavailable.
@@ -44,7 +46,7 @@
     logger,
     log,
     windowCounts: counts,
-    localCounts: new LocalCounts('p1' as IncarnationId),
+    localCounts,
     sink,
     sender: { send } as unknown as FencedSender,
     holder: 'n1' as InstanceId,
@@ -90,4 +92,50 @@
       expect(report?.at).toBeLessThanOrEqual(55_000 + REPORT_DUE_MS);
     },
   );
+
+  it('takes no memory long after its report, however many windows there are', async () => {
+    const sizes: number[] = [];
+    for (let window = 10; window < 310; window += 1) {
+      tracker.count(TEAM, clock.wall());
+      await run(WINDOW_MS);
+      sizes.push(counts.size + localCounts.size + tracker.size);
+    }
+    expect(Math.max(...sizes.slice(100))).toBeLessThanOrEqual(Math.max(...sizes.slice(0, 100)));
+    expect(Math.max(...sizes)).toBeLessThanOrEqual(150);
+    const windows = sink.reports.map((report) => report.window);
+    expect(new Set(windows).size).toBe(windows.length);
+    expect(windows.length).toBeGreaterThan(295);
+    expect(sink.reports.every((report) => report.counts[TEAM] === 1)).toBe(true);
+  });
+
+  it('is not reported again with other counts when the wall clock steps back', async () => {
+    for (let window = 10; window < 110; window += 1) {
+      tracker.count(TEAM, clock.wall());
+      await run(WINDOW_MS);
+    }
+    const before = sink.reports.length;
+    expect(before).toBeGreaterThan(90);
+    // A holder that has just gained the duty, whose clock is 80 windows behind.
+    tracker.forgetReported();
+    const late = new ManualClock(clock.wall() - 80 * WINDOW_MS);
+    const successor = new UsageTracker({
+      clock: late,
+      metrics: createMetrics(),
+      logger,
+      log,
+      windowCounts: counts,
+      localCounts: new LocalCounts('p2' as IncarnationId),
+      sink,
+      sender: {
+        send: (order: (fencing: number, guard: object) => unknown) => order(2, {}),
+      } as unknown as FencedSender,
+      holder: 'n2' as InstanceId,
+    });
+    for (let turn = 0; turn < 20; turn += 1) {
+      successor.processDueWindows();
+      await run(100);
+    }
+    const repeated = sink.reports.slice(before);
+    expect(repeated.filter((report) => report.counts[TEAM] !== 1)).toEqual([]);
+  });
 });
--- a/packages/gateway/test/window-counts.test.ts
+++ b/packages/gateway/test/window-counts.test.ts
@@ -49,6 +49,34 @@
     expect(localCounts.takeRecords().records).toHaveLength(1);
   });
 
+  it('are not opened again by a late record after the window was closed', () => {
+    const counts = new WindowCounts(5_000);
+    const localCounts = new LocalCounts('p1' as IncarnationId);
+    localCounts.count(7, TEAM);
+    apply(counts, [createClosedRecord(7, { [TEAM]: 3 }), ...localCounts.takeRecords().records]);
+    expect(counts.sum(7)).toEqual({});
+    expect(counts.findClosed(7)).toEqual({ [TEAM]: 3 });
+    expect(counts.size).toBe(1);
+  });
+
+  it('are forgotten long after the window was closed, and are then fixed for good', () => {
+    const counts = new WindowCounts(5_000);
+    const localCounts = new LocalCounts('p1' as IncarnationId);
+    for (let window = 0; window < 1_000; window += 1) {
+      localCounts.count(window, TEAM);
+      const { records } = localCounts.takeRecords();
+      apply(counts, [...records, createClosedRecord(window, { [TEAM]: 1 })]);
+      localCounts.forget((one) => counts.isFixed(one));
+      expect(counts.size).toBeLessThanOrEqual(70);
+      expect(localCounts.size).toBeLessThanOrEqual(70);
+    }
+    apply(counts, [createClosedRecord(3, { [TEAM]: 9 })]);
+    expect(counts.findClosed(3)).toBeUndefined();
+    expect(counts.isFixed(3)).toBe(true);
+    expect(counts.isFixed(1_000)).toBe(false);
+    expect(counts.firstWindow).toBeGreaterThan(900);
+  });
+
   it('do not depend on the order in which records arrive', () => {
     const teams = ['a', 'b'] as TeamId[];
     fc.assert(
