Bound the lists of started and ended processes

Each restart added an incarnation to the processes that have ended, and each replaced instance stayed among the relays. Both lists now keep the newest 1,000. Only the process that holds the duty's lease or held it last is asked about, and without an answer its lease expires as usual.

Both new tests failed before (10,000 entries after 10,000 starts) and pass now.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -16,6 +16,11 @@
 /** What a process writes to the log when it starts. */
 export type ProcessStart = z.infer<typeof StartSchema>;
 
+// Only the process that holds a lease or held it last is asked about, and without an answer its lease
+// expires anyway. The lists are long enough for every instance to restart at once.
+const MAX_ENDED = 1_000;
+const MAX_INSTANCES = 1_000;
+
 /** Tracks the newest process of each instance, and which processes have ended. */
 export class Peers {
   readonly #own: InstanceId;
@@ -41,12 +46,19 @@
     const { instance, incarnation } = parsed.data;
     const known = this.#starts.get(instance);
     if (known && known.incarnation !== incarnation) this.#ended.add(known.incarnation);
+    removeOldest(this.#ended, MAX_ENDED);
     // Keeps the newest start last: the processes that started first are likeliest to have ended.
     this.#starts.delete(instance);
     this.#starts.set(instance, parsed.data);
+    removeOldest(this.#starts, MAX_INSTANCES);
     return true;
   }
 
+  /** How many processes are kept, those that have ended included. */
+  get size(): number {
+    return this.#starts.size + this.#ended.size;
+  }
+
   /** Whether a process has ended: a later one of the same instance has started. */
   isEnded(incarnation: IncarnationId): boolean {
     return this.#ended.has(incarnation);
@@ -65,3 +77,9 @@
 export function createStartRecord(start: ProcessStart): NewRecord {
   return { id: createId<RecordId>(), kind: START_RECORD_KIND, payload: start };
 }
+
+/** Removes the entry that was added first from a set or map that exceeds its maximum size. */
+function removeOldest<K>(entries: Set<K> | Map<K, unknown>, maxSize: number): void {
+  const [oldest] = entries.keys();
+  if (entries.size > maxSize && oldest !== undefined) entries.delete(oldest);
+}
--- /dev/null
+++ b/packages/gateway/test/peers.test.ts
@@ -0,0 +1,34 @@
+import type { IncarnationId, InstanceId, Offset, WallTime } from '@hibiscushill/base';
+import { describe, expect, it } from 'vitest';
+
+import { Peers, createStartRecord } from '../src/peers';
+
+const OWN = 'own' as InstanceId;
+const MAX_SIZE = 2_000;
+
+function start(peers: Peers, instance: string, incarnation: string): void {
+  const record = createStartRecord({
+    instance: instance as InstanceId,
+    incarnation: incarnation as IncarnationId,
+    relay: `${instance}:1`,
+  });
+  peers.apply({ ...record, offset: 0 as Offset, appendedAt: 0 as WallTime });
+}
+
+describe('the processes that were started', () => {
+  it('stay bounded however often instances restart, and the newest are known as ended', () => {
+    const peers = new Peers(OWN);
+    for (let count = 0; count < 10_000; count += 1) start(peers, `n${count % 5}`, `p${count}`);
+    expect(peers.size).toBeLessThanOrEqual(MAX_SIZE);
+    expect(peers.relayAddresses).toEqual(['n4:1', 'n3:1', 'n2:1', 'n1:1', 'n0:1']);
+    expect(peers.isEnded('p9994' as IncarnationId)).toBe(true);
+    expect(peers.isEnded('p9999' as IncarnationId)).toBe(false);
+  });
+
+  it('stay bounded however many instances are replaced, and the newest relay calls', () => {
+    const peers = new Peers(OWN);
+    for (let count = 0; count < 10_000; count += 1) start(peers, `n${count}`, `p${count}`);
+    expect(peers.size).toBeLessThanOrEqual(MAX_SIZE);
+    expect(peers.relayAddresses[0]).toBe('n9999:1');
+  });
+});
