Forget the addresses of closed connections

The pool kept an empty list for each address that it ever had a connection to. The list goes with its last connection now.

The new test failed before (one address left after its only connection was taken) and passes now.

--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -116,9 +116,15 @@
     [...this.#idleByAddress.keys()].forEach((address) => this.closeIdle(address));
   }
 
+  /** How many addresses have idle connections. */
+  get idleAddresses(): number {
+    return this.#idleByAddress.size;
+  }
+
   #acquire({ address, isFresh }: ExchangeRequest): PooledConnection {
     const connections = isFresh ? [] : (this.#idleByAddress.get(address) ?? []);
     const pooled = connections.pop();
+    if (connections.length === 0 && !isFresh) this.#idleByAddress.delete(address);
     return pooled ?? this.#open(address);
   }
 
@@ -165,6 +171,7 @@
     const at = connections?.indexOf(connection) ?? -1;
     if (at < 0) return;
     connections?.splice(at, 1);
+    if (connections?.length === 0) this.#idleByAddress.delete(address);
     connection.client.destroy().catch(() => undefined);
   }
 }
--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -103,3 +103,24 @@
     expect(sink).toMatchObject({ status: 200, isComplete: false, errors: [{ wasSent: true }] });
   });
 });
+
+describe('the pool', () => {
+  it('forgets an address once its last idle connection is closed or in use', async () => {
+    const send = (path: string): RecordingSink => {
+      const sink = new RecordingSink();
+      exchanger.send({ address, method: 'GET', path, headers: [] }, sink);
+      return sink;
+    };
+    const first = send('/');
+    await expect.poll(() => first.isComplete).toBe(true);
+    expect(exchanger.idleAddresses).toBe(1);
+    const second = send('/close');
+    expect(exchanger.idleAddresses).toBe(0);
+    await expect.poll(() => second.isComplete || second.errors.length > 0).toBe(true);
+    const third = send('/');
+    await expect.poll(() => third.isComplete).toBe(true);
+    expect(exchanger.idleAddresses).toBe(1);
+    server.closeIdleConnections();
+    await expect.poll(() => exchanger.idleAddresses).toBe(0);
+  });
+});
