Forget the states of engines that are no longer registered

The tracker kept a state for each engine that was ever registered. When the states have doubled since the last time, those of unregistered engines are removed, which costs a fixed share for each new engine; a run that ends after its engine was removed may add a state until the next time.

The new test failed before (203 states and growing with 100 engines; the bound is 202) and passes now over 5,000 engines, of which 100 are registered at a time.

--- a/packages/gateway/src/engine-tracker.ts
+++ b/packages/gateway/src/engine-tracker.ts
@@ -31,6 +31,9 @@
 // An engine is left out after a failure, twice as long after each further one in a row.
 const BACKOFF_BASE_MS = 250;
 const BACKOFF_MAX_MS = 4_000;
+// States of engines that are no longer registered are removed once the states have doubled since the
+// last time, so that this costs little for each new engine. Below this many they aren't removed.
+const MIN_STATES_TO_CLEAN = 64;
 
 /** Tracks weight versions, speeds and failures of engines; an engine's restart clears its state. */
 export class EngineTracker {
@@ -40,6 +43,8 @@
 
   readonly #states = new Map<TargetId, EngineState>();
 
+  #cleanAt = MIN_STATES_TO_CLEAN;
+
   /**
    * @param clock - times failures
    * @param directory - the registered targets
@@ -49,6 +54,11 @@
     this.#directory = directory;
   }
 
+  /** How many engines' states are kept. */
+  get size(): number {
+    return this.#states.size;
+  }
+
   /** Lists a service's engines that are registered and not draining. */
   listUsable(service: ServiceId): TargetRegistration[] {
     return this.#directory.listUsable(service);
@@ -133,6 +143,14 @@
       consecutiveFailures: 0,
     };
     this.#states.set(engine.id, state);
+    if (this.#states.size >= this.#cleanAt) this.#removeUnregistered();
     return state;
   }
+
+  #removeUnregistered(): void {
+    [...this.#states.keys()]
+      .filter((id) => !this.#directory.find(id))
+      .forEach((id) => this.#states.delete(id));
+    this.#cleanAt = Math.max(MIN_STATES_TO_CLEAN, 2 * this.#states.size);
+  }
 }
--- /dev/null
+++ b/packages/gateway/test/engine-tracker.test.ts
@@ -0,0 +1,27 @@
+import { ManualClock, type TargetId } from '@hibiscushill/base';
+import { describe, expect, it } from 'vitest';
+
+import { EngineTracker } from '../src/engine-tracker';
+import { TargetDirectory } from '../src/target-directory';
+import { MODEL, SERVICE, createTarget, version } from './support';
+
+const LIVE_ENGINES = 100;
+
+describe('the states of engines', () => {
+  it('stay bounded while engines are replaced, and those of registered engines are kept', () => {
+    const clock = new ManualClock(1_000);
+    const directory = new TargetDirectory({ clock });
+    const tracker = new EngineTracker(clock, directory);
+    for (let number = 0; number < 5_000; number += 1) {
+      const engine = createTarget(`e${number}`);
+      directory.recordRegistration(engine);
+      tracker.recordVersion(engine, MODEL, version(number + 1));
+      directory.remove(`e${number - LIVE_ENGINES}` as TargetId);
+      expect(tracker.size).toBeLessThanOrEqual(2 * LIVE_ENGINES + 2);
+    }
+    const live = directory.listAll(SERVICE);
+    expect(live).toHaveLength(LIVE_ENGINES);
+    const versions = live.map((engine) => tracker.versionOf(engine, MODEL));
+    expect(versions).toEqual(live.map((_, index) => version(4_901 + index)));
+  });
+});
