Forget groups and their engines with the submissions that have them

The order of items kept each group that it ever saw, and the placement each group's engine: forgetGroup was never called. The registry now reports each submission that it removes (finished, and submitted longer ago than keepResultsMs); the order then drops the submission and returns the groups that no other one has, which the placement forgets. A group's engine thus lives as long as a submission that has the group. The order also keeps what it decided when the duty is gained again; until now every group of a submission then counted as resubmitted.

--- a/packages/gateway/src/item-order.ts
+++ b/packages/gateway/src/item-order.ts
@@ -1,7 +1,7 @@
 /** The order in which waiting items are offered to engines. */
 import type { ItemSpec } from './caller-port';
 import type { ItemTask } from './item-task';
-import type { Submission } from './submission';
+import type { Submission, SubmissionId } from './submission';
 
 /** The sort key of an item, its fields in order of precedence. */
 interface ItemRank {
@@ -28,6 +28,23 @@
 
   /** Registers a submission and its items; must be called before its items are sorted. */
   abstract addSubmission(submission: Submission, items: readonly ItemSpec[]): void;
+
+  /**
+   * Forgets a submission, whose items are no longer sorted.
+   *
+   * @param submission - the submission, which may be unknown
+   * @returns those of its groups that no other registered submission has
+   */
+  abstract removeSubmission(submission: Submission): string[];
+}
+
+/** The groups of a submission. */
+interface SubmissionGroups {
+  readonly all: readonly string[];
+  /** Those that its trainer can do without. */
+  readonly optional: ReadonlySet<string>;
+  /** Those that an earlier submission had. */
+  readonly resubmitted: ReadonlySet<string>;
 }
 
 /**
@@ -39,29 +56,44 @@
  * longest expected outputs are optional and come last.
  */
 export class LongestFirstOrder extends ItemOrder {
-  readonly #optionalGroups = new Set<string>();
+  readonly #groupsBySubmission = new Map<SubmissionId, SubmissionGroups>();
 
-  readonly #resubmittedGroups = new Set<string>();
+  /** How many registered submissions have a group. */
+  readonly #submissionCounts = new Map<string, number>();
 
-  readonly #seenGroups = new Set<string>();
+  /** How many submissions and groups are registered. */
+  get size(): number {
+    return this.#groupsBySubmission.size + this.#submissionCounts.size;
+  }
 
   override addSubmission(submission: Submission, items: readonly ItemSpec[]): void {
+    const { id, wantedGroups } = submission.terms;
+    if (this.#groupsBySubmission.has(id)) return;
     const tokensByGroup = new Map<string, number>();
     items.forEach(({ group, expectedTokens = 0 }) => {
       tokensByGroup.set(group, Math.max(tokensByGroup.get(group) ?? 0, expectedTokens));
     });
-    const isResubmitted = (group: string): boolean => this.#seenGroups.has(group);
-    const groups = [...tokensByGroup.keys()];
-    const wantedCount = submission.terms.wantedGroups ?? groups.length;
-    groups
-      .filter((group) => !isResubmitted(group))
+    const all = [...tokensByGroup.keys()];
+    const resubmitted = new Set(all.filter((group) => this.#submissionCounts.has(group)));
+    const optional = all
+      .filter((group) => !resubmitted.has(group))
       .sort((a, b) => (tokensByGroup.get(b) ?? 0) - (tokensByGroup.get(a) ?? 0))
-      .slice(0, Math.max(0, groups.length - wantedCount))
-      .forEach((group) => this.#optionalGroups.add(createGroupKey(submission, group)));
-    groups
-      .filter(isResubmitted)
-      .forEach((group) => this.#resubmittedGroups.add(createGroupKey(submission, group)));
-    groups.forEach((group) => this.#seenGroups.add(group));
+      .slice(0, Math.max(0, all.length - (wantedGroups ?? all.length)));
+    this.#groupsBySubmission.set(id, { all, optional: new Set(optional), resubmitted });
+    all.forEach((group) => {
+      this.#submissionCounts.set(group, (this.#submissionCounts.get(group) ?? 0) + 1);
+    });
+  }
+
+  override removeSubmission({ terms: { id } }: Submission): string[] {
+    const groups = this.#groupsBySubmission.get(id)?.all ?? [];
+    this.#groupsBySubmission.delete(id);
+    return groups.filter((group) => {
+      const count = (this.#submissionCounts.get(group) ?? 0) - 1;
+      if (count > 0) this.#submissionCounts.set(group, count);
+      else this.#submissionCounts.delete(group);
+      return count <= 0;
+    });
   }
 
   override sort(tasks: readonly ItemTask[]): ItemTask[] {
@@ -73,22 +105,18 @@
 
   #createRank(task: ItemTask): ItemRank {
     const { terms } = task.submission;
-    const key = createGroupKey(task.submission, task.group);
+    const groups = this.#groupsBySubmission.get(terms.id);
     return {
       task,
       hasOutput: task.hasOutput,
-      isOptional: this.#optionalGroups.has(key),
+      isOptional: groups?.optional.has(task.group) ?? false,
       dueAt: terms.submittedAt + terms.dueMs,
-      isResubmitted: this.#resubmittedGroups.has(key),
+      isResubmitted: groups?.resubmitted.has(task.group) ?? false,
       expectedTokens: task.spec.expectedTokens ?? 0,
     };
   }
 }
 
-function createGroupKey(submission: Submission, group: string): string {
-  return `${submission.terms.id} ${group}`;
-}
-
 function compareRanks(a: ItemRank, b: ItemRank): number {
   return (
     Number(b.hasOutput) - Number(a.hasOutput) ||
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -23,6 +23,9 @@
     items: readonly T[],
     engines: readonly EngineView[],
   ): Placement<T>[];
+
+  /** Forgets what is known of a group whose items no longer have to be placed. */
+  abstract forgetGroup(group: string): void;
 }
 
 // An engine this many times slower than the fastest isn't used: it is quicker to wait.
@@ -59,8 +62,12 @@
     return placements;
   }
 
-  /** Forgets which engine has a group's prompt in its cache. */
-  forgetGroup(group: string): void {
+  /** For how many groups it is known which engine has their prompt. */
+  get knownGroups(): number {
+    return this.#engineByGroup.size;
+  }
+
+  override forgetGroup(group: string): void {
     this.#engineByGroup.delete(group);
   }
 }
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -183,6 +183,11 @@
   }
 
   #onChange(change: SubmissionChange): void {
+    if (change.type === 'removed') {
+      const { order, placement } = this.#options;
+      order.removeSubmission(change.submission).forEach((group) => placement.forgetGroup(group));
+      return;
+    }
     if (!this.#isActive) return;
     if (change.type === 'accepted') void this.#addSubmission(change.submission);
     if (change.type === 'ended') this.#endSubmission(change.submission);
--- a/packages/gateway/src/submission.ts
+++ b/packages/gateway/src/submission.ts
@@ -107,9 +107,10 @@
   }
 }
 
-/** What a record of the log changed. */
+/** What a record of the log changed, or that a submission is no longer kept. */
 export type SubmissionChange =
   | { readonly type: 'accepted'; readonly submission: Submission }
+  | { readonly type: 'removed'; readonly submission: Submission }
   | { readonly type: 'ended'; readonly submission: Submission }
   | { readonly type: 'result-added'; readonly submission: Submission; readonly item: ItemId };
 
@@ -150,7 +151,10 @@
   removeFinished(before: WallTime): void {
     [...this.#submissions.values()]
       .filter((one) => !one.isOpen && one.terms.submittedAt < before)
-      .forEach((one) => this.#submissions.delete(one.terms.id));
+      .forEach((submission) => {
+        this.#submissions.delete(submission.terms.id);
+        this.#notify({ type: 'removed', submission });
+      });
   }
 
   #applyAccepted({ terms, items }: AcceptedPayload): void {
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -60,6 +60,8 @@
 let config: ConfigTracker;
 let engineTracker: EngineTracker;
 let runner: SubmissionRunner;
+let placement: BalancedPlacement;
+let order: LongestFirstOrder;
 let payloads: PayloadStore;
 let read: number;
 /** When the read of the configuration was sent that confirmed it last. */
@@ -96,6 +98,8 @@
     chooser,
     onRun: () => undefined,
   });
+  placement = new BalancedPlacement();
+  order = new LongestFirstOrder();
   runner = new SubmissionRunner({
     ...shared,
     itemLoader: new ItemLoader(payloads),
@@ -103,8 +107,8 @@
     rewards: new RewardCaller({ ...shared, forwarder }),
     writer: new ResultWriter({ ...shared, log, payloads }),
     progress: new ProgressStore({ ...shared, log }),
-    placement: new BalancedPlacement(),
-    order: new LongestFirstOrder(),
+    placement,
+    order,
   });
 }
 
@@ -342,3 +346,52 @@
     expect(call?.isAborted).toBe(true);
   });
 });
+
+describe('what the submission runner keeps', () => {
+  const KEEP_MS = 60_000;
+  const STEP_MS = 7_000;
+  const SUBMISSIONS = 150;
+
+  it('stays bounded over many submissions, whose results are kept for a time', async () => {
+    directory.recordRegistration(createTarget('e1', { slots: 8 }));
+    runner.start();
+    const sizes: number[] = [];
+    for (let step = 0; step < SUBMISSIONS; step += 1) {
+      const id = `s${step}` as SubmissionId;
+      const items = [1, 2, 3].map((n) => createItem(`i${step}.${n}`, { group: `g${step}.${n}` }));
+      await submit(items, { id, submittedAt: clock.wall() });
+      const calls = client.calls.splice(0);
+      expect(calls).toHaveLength(items.length);
+      calls.slice(step % 2).forEach((call) => {
+        call.stream(1, ['a']);
+        call.sink.onEnd();
+      });
+      await readLog();
+      if (submissions.find(id)?.isOpen) await append(createEndedRecord(id));
+      clock.advance(STEP_MS);
+      confirmedAt = clock.mono();
+      submissions.removeFinished((clock.wall() - KEEP_MS) as WallTime);
+      sizes.push(order.size + placement.knownGroups + runner.openItems);
+    }
+    // Each of the submissions that are kept has one entry itself and two for each group.
+    const kept = Math.ceil(KEEP_MS / STEP_MS) + 1;
+    expect(Math.max(...sizes)).toBeLessThanOrEqual(kept * 7);
+  });
+
+  it('includes the engine of a group that a later submission has, too', async () => {
+    directory.recordRegistration(createTarget('e1'));
+    directory.recordRegistration(createTarget('e2'));
+    runner.start();
+    await submit([createItem('i1')], { submittedAt: clock.wall() });
+    const [first] = client.calls;
+    first?.stream(1, ['a']);
+    first?.sink.onEnd();
+    await readLog();
+    clock.advance(KEEP_MS);
+    await submit([createItem('i2')], { id: 's2' as SubmissionId, submittedAt: clock.wall() });
+    submissions.removeFinished(clock.wall());
+    expect(submissions.find(ID)).toBeUndefined();
+    expect(placement.knownGroups).toBe(1);
+    expect(client.calls[1]?.call.target.id).toBe(first?.call.target.id);
+  });
+});
