Make targets wait for callers that read slowly

An attempt passed on whatever its target sent, and the response to the caller buffered it: a caller that read nothing cost as much memory as the stream was long. The attempt now stops reading from the target while the caller's buffer is full, and goes on when it has drained. A response that is held back ends with the request's deadline, and as before when its caller leaves; one that its caller reads isn't touched.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,7 @@
 import {
   type AbortCall,
   type CallFailure,
+  type ResponseFlow,
   TargetResponseSink,
   type TargetResponseHead,
   type TargetCall,
@@ -51,6 +52,15 @@
 
   #head: TargetResponseHead | undefined;
 
+  #flow: ResponseFlow | undefined;
+
+  #isPaused = false;
+
+  #isOverdue = false;
+
+  /** Ends the wait for the deadline of a response that is being relayed. */
+  #deadlineStop: AbortController | undefined;
+
   #chunks: Buffer[] = [];
 
   #bytes = 0;
@@ -101,7 +111,8 @@
   }
 
   /**
-   * Relays a streaming response to the caller, from its beginning.
+   * Relays a streaming response to the caller, from its beginning. The target has to wait while the
+   * caller reads more slowly than it writes, until the deadline at most.
    *
    * @param reply - the response to the caller
    * @param onEnd - called at the end, with a reason if the stream is incomplete
@@ -111,12 +122,19 @@
     this.#reply = reply;
     this.#onRelayEnd = onEnd;
     reply.startResponse(this.#head);
-    this.#chunks.forEach((chunk) => reply.write(chunk));
+    const isWritable = this.#chunks.map((chunk) => reply.write(chunk)).at(-1) ?? true;
     this.#chunks = [];
-    if (this.#endBeforeRelay) this.#endRelay(this.#endBeforeRelay.reason);
+    if (this.#endBeforeRelay) {
+      this.#endRelay(this.#endBeforeRelay.reason);
+      return;
+    }
+    reply.onWritable(() => this.#resume());
+    if (isWritable) this.#resume();
+    else this.#pause();
+    void this.#waitForDeadline();
   }
 
-  override onHead(head: TargetResponseHead): void {
+  override onHead(head: TargetResponseHead, flow?: ResponseFlow): void {
     const { target, id } = this.call;
     if (this.#hasEnded) return;
     if (head.echo !== undefined && head.echo !== id) {
@@ -127,6 +145,7 @@
       return;
     }
     this.#head = head;
+    this.#flow = flow;
     if (head.load) this.#options.stats.recordLoad(target.id, head.load);
     if (head.isEventStream && head.status < 300) this.#resolve({ type: 'streaming', head });
   }
@@ -134,12 +153,13 @@
   override onData(chunk: Buffer): void {
     if (this.#hasEnded) return;
     if (this.#reply) {
-      this.#reply.write(chunk);
+      if (!this.#reply.write(chunk)) this.#pause();
       return;
     }
     this.#chunks.push(chunk);
     this.#bytes += chunk.length;
     if (this.#bytes > MAX_BUFFER_BYTES && this.#head) {
+      this.#pause();
       this.#resolve({ type: 'streaming', head: this.#head });
     }
   }
@@ -165,6 +185,33 @@
     this.#endRelay(failure.reason);
   }
 
+  #pause(): void {
+    this.#isPaused = true;
+    this.#flow?.pause();
+    if (this.#isOverdue) this.#cutRelay();
+  }
+
+  #resume(): void {
+    this.#isPaused = false;
+    this.#flow?.resume();
+  }
+
+  async #waitForDeadline(): Promise<void> {
+    this.#deadlineStop = new AbortController();
+    const leftMs = Math.max(0, this.call.deadlineMs - this.ageMs);
+    await this.#options.clock.sleep(leftMs, this.#deadlineStop.signal);
+    this.#isOverdue = true;
+    if (this.#isPaused) this.#cutRelay();
+  }
+
+  /** Ends a response that the caller did not read in time, which says nothing about the target. */
+  #cutRelay(): void {
+    if (this.#hasEnded) return;
+    this.#finish();
+    this.#abort();
+    this.#endRelay('the caller did not read the response in time');
+  }
+
   #endRelay(reason: string | undefined): void {
     if (!this.#reply) {
       this.#endBeforeRelay = { reason };
@@ -177,6 +224,7 @@
 
   #finish(outcome?: 'answered' | 'failed' | 'silent', tookMs?: Millis): void {
     this.#hasEnded = true;
+    this.#deadlineStop?.abort();
     this.#options.stats.recordEnded(this.call.target.id, outcome, tookMs);
   }
 }
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -63,6 +63,9 @@
    */
   abstract write(chunk: Buffer): boolean;
 
+  /** Registers a function that is called when a further part can be written after `false`. */
+  abstract onWritable(handle: () => void): void;
+
   /** Completes a streamed response. */
   abstract end(): void;
 
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,7 +1,11 @@
 /** HTTP requests over pooled connections, of which each carries one request at a time. */
+import type { Socket } from 'node:net';
+
 import { type Clock, type Metrics, type Millis, onConnectionReset } from '@hibiscushill/base';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
+import type { ResponseFlow } from './target-port';
+
 /** A request to send. */
 export interface ExchangeRequest {
   /** `IP:port`. */
@@ -27,7 +31,7 @@
  */
 export abstract class ExchangeSink {
   /** Receives the status, and header names and values in turn. */
-  abstract onHead(status: number, headers: readonly string[]): void;
+  abstract onHead(status: number, headers: readonly string[], flow: ResponseFlow): void;
 
   abstract onData(chunk: Buffer): void;
 
@@ -57,8 +61,37 @@
 const KEEP_ALIVE_MARGIN_MS = 300;
 const MAX_HEADER_BYTES = 65_536;
 
+/** Holds back the data of a socket, whose buffer then fills up, so that its peer has to wait. */
+class ReadGate implements ResponseFlow {
+  readonly #socket: Socket;
+
+  #isPaused = false;
+
+  /** @param socket - a socket whose user calls `read` upon each `readable` event */
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    const read = socket.read.bind(socket);
+    // The library's own pause isn't used: a reset of the connection during it throws an exception
+    // that nothing can catch.
+    Object.assign(socket, { read: (size?: number) => (this.#isPaused ? null : read(size)) });
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    // The library must not be made to read while it is passing on what it has read.
+    queueMicrotask(() => this.#socket.emit('readable'));
+  }
+}
+
 interface PooledConnection {
   readonly client: Client;
+  /** Undefined before the connection is open. */
+  gate: ReadGate | undefined;
   /** Whether the current connection ended by a reset rather than by an orderly close. */
   wasReset: boolean;
 }
@@ -137,7 +170,7 @@
   #open(address: string): PooledConnection {
     const { metrics, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.#options;
     const connect = buildConnector({ timeout: connectTimeoutMs });
-    const state = { wasReset: false };
+    const state = { wasReset: false, gate: undefined };
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -153,6 +186,7 @@
           }
           metrics.count('target.connected');
           connection.wasReset = false;
+          connection.gate = new ReadGate(socket);
           // The library treats a reset like the end of a response without a length, so this has to
           // be registered before the library's own listeners.
           onConnectionReset(socket, () => {
@@ -239,7 +273,14 @@
     const connectionAt = names.indexOf('connection');
     this.#closesConnection =
       connectionAt >= 0 && (headers[2 * connectionAt + 1] ?? '').toLowerCase() === 'close';
-    this.#sink.onHead(status, headers);
+    this.#sink.onHead(status, headers, {
+      pause: () => {
+        if (!this.#hasEnded) this.#connection.gate?.pause();
+      },
+      resume: () => {
+        if (!this.#hasEnded) this.#connection.gate?.resume();
+      },
+    });
   }
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
@@ -253,6 +294,7 @@
       return;
     }
     this.#hasEnded = true;
+    this.#connection.gate?.resume();
     this.#release(this.#isDelimited && !this.#closesConnection);
     this.#sink.onEnd();
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -61,6 +61,7 @@
   AbortCall,
   CallFailure,
   StreamEvent,
+  ResponseFlow,
   TargetResponseHead,
   TargetCall,
   ReportedLoad,
--- a/packages/gateway/src/target-port.ts
+++ b/packages/gateway/src/target-port.ts
@@ -55,12 +55,20 @@
   readonly reason: string;
 }
 
+/** Holds back the data of a response while its receiver can't take more. */
+export interface ResponseFlow {
+  /** Reads no further; data that has arrived may still be passed on. */
+  pause(): void;
+
+  resume(): void;
+}
+
 /**
  * Receives the parts of a target's response. Exactly one of `onEnd` and `onFailure` is called, as
  * the last.
  */
 export abstract class TargetResponseSink {
-  abstract onHead(head: TargetResponseHead): void;
+  abstract onHead(head: TargetResponseHead, flow?: ResponseFlow): void;
 
   abstract onData(chunk: Buffer): void;
 
