Name the stop of an item as the reason when its scoring ends

A scoring call whose item was stopped was refused by the forwarder with the code config_stale, and logged with the reason of the last failed attempt, since mayRun stood for two causes. The forwarder now asks apart whether the response is still needed, and ends such a request as cancelled.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -51,6 +51,8 @@
   readonly hedgeDelayMs?: Millis;
   /** Checked before each attempt; false once the request's key can no longer be trusted. */
   readonly mayRun: () => boolean;
+  /** Checked before each attempt; true once the response is no longer needed. */
+  readonly isStopped?: () => boolean;
   /** Aborted when the caller has closed its connection. */
   readonly signal: AbortSignal;
   /** Called for each complete response with status 500. */
@@ -256,7 +258,8 @@
     if (this.#possibleRuns >= (this.#isRepeatable ? route.maxRuns : 1)) return false;
     if (this.#attempts >= route.maxRuns + EXTRA_ATTEMPTS) return false;
     const remainingMs = this.#remainingMs();
-    if (remainingMs < MIN_REMAINING_MS || !this.#req.mayRun()) return false;
+    if (remainingMs < MIN_REMAINING_MS || this.#req.isStopped?.()) return false;
+    if (!this.#req.mayRun()) return false;
     const target = this.#chooseTarget();
     if (!target) return false;
     this.#triedTargets.add(target.id);
@@ -315,6 +318,7 @@
       });
       return { type: 'refused', answer };
     }
+    if (this.#req.isStopped?.()) return { type: 'cancelled' };
     if (!this.#req.mayRun()) return this.#refuse('config_stale', OTHER_PROCESS_RETRY_MS);
     return this.#refuse('no_target', NO_TARGET_RETRY_MS);
   }
--- a/packages/gateway/src/reward-caller.ts
+++ b/packages/gateway/src/reward-caller.ts
@@ -77,7 +77,8 @@
       body: Buffer.from(reward.body, 'base64'),
       endsAt: (clock.mono() + REWARD_TIMEOUT_MS) as MonoTime,
       hedgeDelayMs: HEDGE_DELAY_MS,
-      mayRun: () => !task.isStopped,
+      mayRun: () => true,
+      isStopped: () => task.isStopped,
       signal: new AbortController().signal,
       onServerError: () => {
         task.countRewardError();
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -37,12 +37,14 @@
 let forwarder: RequestForwarder;
 let stats: TargetStats;
 let mayRun: boolean;
+let isStopped: boolean;
 
 beforeEach(() => {
   clock = new ManualClock(1_000);
   client = new ManualClient();
   runs = 0;
   mayRun = true;
+  isStopped = false;
   const metrics = createMetrics();
   const random = new RandomSource(1);
   const directory = new TargetDirectory({ clock });
@@ -80,6 +82,7 @@
     body: Buffer.from('x'),
     endsAt: (clock.mono() + route.timeoutMs) as MonoTime,
     mayRun: () => mayRun,
+    isStopped: () => isStopped,
     signal,
   };
   return forwarder.forward(req);
@@ -102,6 +105,14 @@
     expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('own') });
   });
 
+  it('is cancelled, not refused, when its response is no longer needed', async () => {
+    const result = forward();
+    isStopped = true;
+    client.calls[0]?.fail({ run: 'not-run', reason: 'full' });
+    expect(await result).toEqual({ type: 'cancelled' });
+    expect(client.calls).toHaveLength(1);
+  });
+
   it('has one listener for its abort signal, however many targets it is sent to', async () => {
     const { signal } = new AbortController();
     const result = forward(createRoute({ maxRuns: 9 }), signal);
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -1,4 +1,5 @@
 import {
+  type Logger,
   ManualClock,
   type Millis,
   RandomSource,
@@ -23,6 +24,7 @@
 } from '../src/target-port';
 import { TargetStats } from '../src/target-stats';
 import {
+  ManualClient,
   createConfig,
   createHead,
   createMetrics,
@@ -88,6 +90,10 @@
 beforeEach(() => {
   clock = new ManualClock(1_000);
   client = new QueueingClient(clock);
+  rewards = createRewards(client, logger);
+});
+
+function createRewards(targetClient: TargetClient, rewardLogger: Logger): RewardCaller {
   const metrics = createMetrics();
   const random = new RandomSource(1);
   const config = new ConfigTracker({ clock, metrics, withdrawnKeyMs: 5_000 });
@@ -104,18 +110,28 @@
     random,
     metrics,
     logger,
-    client,
+    client: targetClient,
     directory,
     stats,
     chooser,
     onRun: () => undefined,
   });
-  rewards = new RewardCaller({ clock, logger, config, forwarder });
-});
+  return new RewardCaller({ clock, logger: rewardLogger, config, forwarder });
+}
 
-function score(index: number): Promise<RewardOutcome> {
-  const task = { isStopped: false, rewardErrors: 0, countRewardError: () => undefined };
-  return rewards.call(task as unknown as ItemTask, {
+function createTask(): { isStopped: boolean } {
+  const task = {
+    isStopped: false,
+    rewardErrors: 0,
+    countRewardError: () => undefined,
+    submission: { terms: { id: 's1' } },
+    spec: { id: 'i1' },
+  };
+  return task;
+}
+
+function score(index: number, task = createTask(), caller = rewards): Promise<RewardOutcome> {
+  return caller.call(task as unknown as ItemTask, {
     id: `score-${index}` as RequestId,
     host: 'a.example',
     path: '/a/score',
@@ -141,4 +157,19 @@
     await advance(clock, 3_000);
     expect(await outcome).toMatchObject({ type: 'scored' });
   });
+
+  it('name the stop of their item as the reason when they end because of it', async () => {
+    const reasons: unknown[] = [];
+    const recorder = { ...logger, info: (_: string, fields?: object) => reasons.push(fields) };
+    const manual = new ManualClient();
+    const task = createTask();
+    const outcome = score(1, task, createRewards(manual, recorder));
+    task.isStopped = true;
+    manual.calls[0]?.fail({ run: 'not-run', reason: 'full' });
+    await runPendingCallbacks();
+    await advance(clock, 100);
+    expect(await outcome).toEqual({ type: 'stopped' });
+    expect(reasons).toMatchObject([{ reason: 'cancelled' }]);
+    expect(manual.calls).toHaveLength(1);
+  });
 });
