--- a/packages/gateway/test/engine-tracker.test.ts
+++ b/packages/gateway/test/engine-tracker.test.ts
@@ -3,14 +3,14 @@
 
 import { EngineTracker } from '../src/engine-tracker';
 import { TargetDirectory } from '../src/target-directory';
-import { MODEL, SERVICE, createTarget, version } from './support';
+import { createMetrics, MODEL, SERVICE, createTarget, version } from './support';
 
 const LIVE_ENGINES = 100;
 
 describe('the states of engines', () => {
   it('stay bounded while engines are replaced, and those of registered engines are kept', () => {
     const clock = new ManualClock(1_000);
-    const directory = new TargetDirectory({ clock });
+    const directory = new TargetDirectory({ clock, metrics: createMetrics() });
     const tracker = new EngineTracker(clock, directory);
     for (let number = 0; number < 5_000; number += 1) {
       const engine = createTarget(`e${number}`);
