Explain abandoned items and refusals for leaving targets

hibiscusctl explain passed over the new lines: an item's abandonment with its reason and configuration, the scoring calls that led to it (which name their item in a field of their own), and what targets had said of leaving. Two new tests failed before and pass.

--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -26,6 +26,8 @@
   'Regained contact with the log.',
   'Records were dropped before they were read',
   'Reaches the log',
+  'that it is leaving',
+  'that was leaving has started again',
 ];
 
 /**
@@ -65,8 +67,10 @@
 }
 
 function isAbout({ fields }: SavedLine, id: string): boolean {
-  const named = typeof fields.id === 'string' ? fields.id : '';
-  return named === id || named.split('/').includes(id);
+  // The line of a scoring call names the item that it scores beside the call.
+  return [fields.id, fields.item]
+    .filter((named) => typeof named === 'string')
+    .some((named) => named === id || named.split('/').includes(id));
 }
 
 function isRelated({ process, message }: SavedLine, processes: readonly string[]): boolean {
@@ -113,7 +117,16 @@
     const { status, tookMs } = answer.fields;
     return [`Answered with ${show(status)} after ${show(tookMs)} ms.`, ...failed];
   }
-  return runs.length > 0 ? [describeRuns(runs)] : failed;
+  const abandoned = lines.filter(({ message }) => message.includes('An item was abandoned.'));
+  const ended = runs.length > 0 ? [describeRuns(runs)] : failed;
+  return [...ended, ...abandoned.map(describeAbandonment)];
+}
+
+function describeAbandonment({ fields }: SavedLine): string {
+  const { id, reason, serverErrors, scoringErrors, configVersion, configProofAgeMs } = fields;
+  const errors = `after ${show(serverErrors ?? 0)} failed runs and ${show(scoringErrors ?? 0)} failed scoring calls`;
+  const age = typeof configProofAgeMs === 'number' ? describeAge(configProofAgeMs) : '';
+  return `Abandoned: ${show(id)}, ${show(reason)}, ${errors}, by configuration ${show(configVersion ?? 'none')}. ${age}`;
 }
 
 function describeRefusal({ fields }: SavedLine): string {
--- a/packages/ctl/test/explain-request.test.ts
+++ b/packages/ctl/test/explain-request.test.ts
@@ -118,6 +118,47 @@
     expect(lines).toHaveLength(4);
   });
 
+  it('tells why items were abandoned, and by which configuration', async () => {
+    await save('n1.log', [
+      createLine(1_000, 0, '[gateway.work] A run ended.', { id: 's1/i1', outcome: 'complete' }),
+      createLine(1_100, 1, '[gateway.reward] A scoring call failed.', {
+        id: 'score-i1',
+        item: 's1/i1',
+        reason: 'status 500',
+      }),
+      createLine(1_200, 2, '[gateway.work] An item was abandoned.', {
+        id: 's1/i1',
+        reason: 'scoring-errors',
+        serverErrors: 0,
+        scoringErrors: 4,
+        configVersion: 7,
+        configProofAgeMs: 300,
+      }),
+      createLine(1_300, 3, '[gateway.work] An item was abandoned.', {
+        id: 's1/i2',
+        reason: 'route-withdrawn',
+        configVersion: 8,
+        configProofAgeMs: 20,
+      }),
+    ]);
+    expect(await run('s1')).toMatchSnapshot();
+    expect((await run('i1')).out).toContain('A scoring call failed.');
+  });
+
+  it('shows what targets had said of leaving before a request was refused for it', async () => {
+    const refusal = { id: 'r1', code: 'targets_leaving', run: 'not-run', detail: 'none' };
+    const left = '[gateway.targets] A target said in a response that it is leaving.';
+    await save('n1.log', [
+      createLine(1_000, 0, left, { target: 't1', request: 'r0', ageMs: 12 }),
+      createLine(2_000, 1, '[gateway.request] A request was refused.', refusal),
+    ]);
+    await save('n2.log', [createLine(1_500, 0, left, { target: 't2', request: 'r9', ageMs: 3 })]);
+    const { out } = await run('r1');
+    expect(out).toContain('target=t1');
+    expect(out).not.toContain('target=t2');
+    expect(out).toContain('All targets of the service are leaving.');
+  });
+
   it('says when no line names the id, or the logs do not exist', async () => {
     await save('n1.log', [createLine(1_000, 0, '[gateway.node] The gateway process started.')]);
     expect((await run('r9')).code).toBe(EXIT_CODES.missing.code);
