--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -1,5 +1,5 @@
 /** One run of an item: a streamed generation request at one engine. */
-import type { Clock, Logger, Millis, MonoTime, WeightVersion } from '@hibiscushill/base';
+import type { Clock, Logger, Millis, MonoTime, RequestId, WeightVersion } from '@hibiscushill/base';
 
 import type { TargetRegistration } from './target-directory';
 import type { EngineTracker } from './engine-tracker';
@@ -21,6 +21,8 @@
 // The request can't run on any engine.
 const STATUS_UNPROCESSABLE = 422;
 const STATUS_SERVER_ERROR = 500;
+// The deadline of a run; its item then goes on in another run.
+const RUN_TIMEOUT_MS = 10_000;
 // An idle engine sends its first event within a few tens of milliseconds; after this long its
 // connection or its machine is considered lost.
 const FIRST_EVENT_TIMEOUT_MS = 1_000;
@@ -211,6 +213,35 @@
   }
 }
 
+/**
+ * Creates the request of an item's next run, which resumes its output.
+ *
+ * @param task - the item
+ * @param engine - the engine that is to run it
+ * @param expectVersion - the only weight version under which the engine may run it
+ */
+export function createItemCall(
+  { submission, spec, output }: ItemTask,
+  engine: TargetRegistration,
+  expectVersion: WeightVersion,
+): TargetCall {
+  const { host, team } = submission.terms;
+  const { lastNumber } = output;
+  return {
+    target: engine,
+    method: 'POST',
+    path: spec.path,
+    host,
+    headers: Object.entries(spec.headers).flat(),
+    body: Buffer.from(spec.body, 'base64'),
+    id: spec.id as string as RequestId,
+    deadlineMs: RUN_TIMEOUT_MS,
+    team,
+    expectVersion,
+    ...(lastNumber !== undefined && { resumeAfter: lastNumber }),
+  };
+}
+
 function classifyErrorStatus(head: TargetResponseHead): RunOutcome {
   if (head.status === STATUS_MISDIRECTED) return 'wrong-version';
   if (head.hasNotRun) return 'refused';
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -4,7 +4,6 @@
   Logger,
   Metrics,
   Millis,
-  RequestId,
   ServiceId,
   TargetId,
   WallTime,
@@ -16,7 +15,8 @@
 import { RunTracker, type EngineRunSummary } from './run-tracker';
 import type { EngineTracker } from './engine-tracker';
 import type { ItemLoader } from './item-loader';
-import { ItemRun, type RunOutcome } from './item-run';
+import { ItemRoutes } from './item-routes';
+import { ItemRun, type RunOutcome, createItemCall } from './item-run';
 import { ItemTask } from './item-task';
 import type { PlacementPolicy } from './placement';
 import type { ProgressStore } from './progress-store';
@@ -37,8 +37,6 @@
 
 // How often runs are checked for time-outs, and delayed items for their start.
 const TICK_INTERVAL_MS = 50;
-// The deadline of a run; its item then goes on in another run.
-const RUN_TIMEOUT_MS = 10_000;
 // How long an item waits after an engine refused it, so that the engine isn't asked again at once.
 const REFUSED_DELAY_MS = 60;
 // How long to wait before items that couldn't be loaded are loaded again.
@@ -74,6 +72,8 @@
 
   readonly #runTracker: RunTracker;
 
+  readonly #routes: ItemRoutes;
+
   /** Outputs of items whose submission was ended, and those that a previous holder saved. */
   readonly #partialOutputs = new PartialOutputCache();
 
@@ -93,6 +93,7 @@
   constructor(options: SubmissionRunnerOptions) {
     this.#options = options;
     this.#runTracker = new RunTracker(options.engineTracker, options.config);
+    this.#routes = new ItemRoutes(options.config);
     options.submissions.onChanged((change) => this.#onChange(change));
     options.config.onChanged(() => this.#onConfigChanged());
   }
@@ -279,25 +280,15 @@
   }
 
   /**
-   * Applies the route of an item that waits. An item whose route was withdrawn is abandoned; one
-   * whose route may only be unread goes on waiting.
+   * Applies the route of an item that waits; abandons the item if its route was withdrawn.
    *
    * @returns whether it has a route by which it may run
    */
   #applyRoute(task: ItemTask): boolean {
-    const route = this.#runTracker.findRoute(task);
-    if (!this.#hasReadConfigOf(task, route)) return false;
-    if (route) task.setSingleVersion(route.isSingleVersion);
-    else this.#abandon(task, 'route-withdrawn');
-    return route !== undefined;
-  }
-
-  /** Whether the configuration is at least as new as the one by which an item was accepted. */
-  #hasReadConfigOf({ submission, knownSince }: ItemTask, route: ServingRoute | undefined): boolean {
-    const { config } = this.#options;
-    const { configVersion } = submission.terms;
-    if (configVersion !== undefined) return (config.current?.version ?? 0) >= configVersion;
-    return route !== undefined || config.isConfirmedSince(knownSince);
+    const found = this.#routes.find(task);
+    if (found.type === 'found') task.setSingleVersion(found.route.isSingleVersion);
+    if (found.type === 'withdrawn') this.#abandon(task, 'route-withdrawn');
+    return found.type === 'found';
   }
 
   /** Applies the current routes to running items. */
@@ -325,8 +316,6 @@
 
   #startRun(task: ItemTask, engine: TargetRegistration, model: ModelId, route: ServingRoute): void {
     const { clock, client, engineTracker, logger, metrics } = this.#options;
-    const { terms } = task.submission;
-    const { lastNumber } = task.output;
     this.#waiting.delete(task);
     metrics.count('item.started');
     const run = new ItemRun({
@@ -337,19 +326,7 @@
       engine,
       model,
       task,
-      call: {
-        target: engine,
-        method: 'POST',
-        path: task.spec.path,
-        host: terms.host,
-        headers: Object.entries(task.spec.headers).flat(),
-        body: Buffer.from(task.spec.body, 'base64'),
-        id: task.spec.id as string as RequestId,
-        deadlineMs: RUN_TIMEOUT_MS,
-        team: terms.team,
-        expectVersion: engineTracker.versionOf(engine, model),
-        ...(lastNumber !== undefined && { resumeAfter: lastNumber }),
-      },
+      call: createItemCall(task, engine, engineTracker.versionOf(engine, model)),
       onEnd: (ended, outcome) => this.#onRunEnd(ended, outcome, route),
     });
     this.#runTracker.add(run);
