Say in every frame of an agent that its target is leaving

Cause: an agent that left said so in its hello, in its load reports and as the code of refusals; the other answers said nothing, and the entry read the load report alone.

Change: AgentFrame has the optional field leaving_age_ms, the time since the agent learnt of it, which the link's server sets in every frame. The link's client calls onLeaving for each frame that says so, also in the three forms of earlier agents. LeavingNotices, an entry's record by LeavingTargets, has it by target and incarnation, with one log line and counter when it is learnt and one when a later incarnation connects. Choices don't use it yet.

--- a/packages/agent/src/admission-controller.ts
+++ b/packages/agent/src/admission-controller.ts
@@ -4,6 +4,7 @@
   type CodeName,
   type KeyId,
   type Millis,
+  type MonoTime,
   type ServiceId,
   createFailure,
   type Failure,
@@ -28,7 +29,8 @@
 export class AdmissionController {
   readonly #options: AdmissionControllerOptions;
 
-  #isLeaving = false;
+  // When the agent learnt that the target is leaving.
+  #leavingSince: MonoTime | undefined;
 
   /** @param options - the configuration and the agent's service */
   constructor(options: AdmissionControllerOptions) {
@@ -37,7 +39,13 @@
 
   /** Whether the target is leaving, so that no new attempts are admitted. */
   get isLeaving(): boolean {
-    return this.#isLeaving;
+    return this.#leavingSince !== undefined;
+  }
+
+  /** For how long the target has been leaving; undefined while it serves. */
+  get leavingAgeMs(): Millis | undefined {
+    if (this.#leavingSince === undefined) return undefined;
+    return this.#options.clock.mono() - this.#leavingSince;
   }
 
   /** Whether a configuration is known and was confirmed recently enough. */
@@ -48,7 +56,7 @@
 
   /** Admits no new attempts from now on. */
   markLeaving(): void {
-    this.#isLeaving = true;
+    this.#leavingSince ??= this.#options.clock.mono();
   }
 
   /**
@@ -58,7 +66,7 @@
    * @returns nothing, or why it must not run
    */
   admit(run: Run): Result<void, Failure> {
-    if (this.#isLeaving) return refuse('target_leaving', RETRY_AFTER_MS);
+    if (this.isLeaving) return refuse('target_leaving', RETRY_AFTER_MS);
     if (run.service !== this.#options.service) return refuse('route_unknown');
     return this.checkStart(run);
   }
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -123,6 +123,11 @@
     return this.#admission.isLeaving;
   }
 
+  /** For how long the target has been leaving; undefined while it serves. */
+  get leavingAgeMs(): Millis | undefined {
+    return this.#admission.leavingAgeMs;
+  }
+
   /** The number of usage items that are not known to be on the log. */
   get bufferedUsageCount(): number {
     return this.#usageBuffer.size;
--- a/packages/entry/src/agent-client.ts
+++ b/packages/entry/src/agent-client.ts
@@ -27,6 +27,7 @@
 import type { TargetView } from '@hibiscushill/routing';
 import type { XXHashAPI } from 'xxhash-wasm';
 
+import type { LeavingNotices } from './leaving-notices';
 import {
   type AttemptLink,
   type AttemptIdentity,
@@ -60,6 +61,8 @@
   /** Creates the hello that the link starts with. */
   readonly hello: () => EntryHello;
   readonly sync: ConfigSync;
+  /** What agents have said about targets that are leaving. */
+  readonly leaving: LeavingNotices;
   /** Called with usage items that the agent asks this entry to log. */
   readonly onUsage: (items: readonly UsageItem[], client: AgentClient) => void;
   readonly onWeightReport: (report: WeightReport) => void;
@@ -265,6 +268,7 @@
     clearTimeout(this.#reattachTimer);
     this.#hello = hello;
     this.#isConnected = true;
+    this.#options.leaving.recordConnected(hello);
     if (!isSame) this.#failAttempts('the agent has restarted');
     this.#pendingCancels.forEach((attempt) => this.send({ $case: 'cancel', value: { attempt } }));
     this.#pendingCancels.clear();
@@ -284,6 +288,13 @@
     this.#options.onConnectionLost(this);
   }
 
+  onLeaving(frame: AgentFramePayload, ageMs: Millis | undefined): void {
+    if (this.#hello === undefined) return;
+    const attempt = 'attempt' in frame.value ? frame.value.attempt : '';
+    const request = this.#findAttempt(attempt)?.request;
+    this.#options.leaving.record(this.#hello, { frame, request, ageMs });
+  }
+
   onConfigVersion(version: number, since: MonoTime): void {
     this.#configVersion = version;
     this.#options.sync.receiveVersion(this, version, since);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,6 +38,7 @@
 import { AgentPool } from './agent-pool';
 import { EntryDemandMeter } from './demand-meter';
 import { RequestDispatcher } from './dispatcher';
+import { LeavingNotices } from './leaving-notices';
 import { LinkWeightOrderSender } from './link-weight-order-sender';
 import { OpenRequests } from './open-requests';
 import { EntryOwnerDirectory, serveForwardedCall } from './entry-owner-directory';
@@ -86,6 +87,8 @@
 
   readonly #openRequests: OpenRequests;
 
+  readonly #leaving: LeavingNotices;
+
   readonly #pool: AgentPool;
 
   readonly #policies: EntryPolicies;
@@ -167,6 +170,7 @@
       exchange: (message) => this.#peerExchange.handleMessage(message),
       forward: (call, signal) => serveForwardedCall(this.#trainerService, call, signal),
     });
+    this.#leaving = new LeavingNotices(this.#metrics);
     this.#pool = this.#createPool(hash);
     this.#dispatcher = this.#createDispatcher();
     this.#weightOrders = new LinkWeightOrderSender({
@@ -261,6 +265,7 @@
       clock: this.#clock,
       random: this.#random,
       sync: this.#configSync,
+      leaving: this.#leaving,
       hello: () => ({
         entry: this.#cfg.instance,
         incarnation: this.#incarnation,
--- a/packages/protocol/src/link-client.ts
+++ b/packages/protocol/src/link-client.ts
@@ -11,6 +11,7 @@
   LinkClient as LinkStub,
 } from './generated/link';
 import { DEFAULT_HEARTBEAT_OPTIONS, type HeartbeatOptions, HeartbeatTracker } from './heartbeat';
+import { saysLeaving } from './leaving';
 
 /** The content of a frame that an entry sends to an agent. */
 export type EntryFramePayload = NonNullable<EntryFrame['frame']>;
@@ -24,6 +25,12 @@
   onConnected(hello: AgentHello): void;
   /** A frame other than hello and heartbeat has arrived. */
   onFrame(frame: AgentFramePayload): void;
+  /**
+   * A frame has said that the target is leaving. This is called before the frame is handled, except
+   * for a hello, where it is called after `onConnected`; `ageMs` is the time since the agent learnt
+   * of it, which agents of earlier versions don't send.
+   */
+  onLeaving(frame: AgentFramePayload, ageMs: Millis | undefined): void;
   /** The agent had this configuration version at or after the time `since`. */
   onConfigVersion(version: number, since: MonoTime): void;
   /** The stream has ended or could not be opened. */
@@ -139,19 +146,22 @@
   }
 
   async #readFrames(stream: Stream, tracker: HeartbeatTracker): Promise<void> {
-    const { handlers } = this.#options;
     for await (const message of stream as AsyncIterable<AgentFrame>) {
-      const { frame } = message;
       tracker.onFrame();
-      if (frame?.$case === 'hello') {
-        this.#stream = stream;
-        handlers.onConnected(frame.value);
-      } else if (frame?.$case === 'heartbeat') {
-        const since = tracker.onHeartbeat(frame.value);
-        if (since !== undefined) handlers.onConfigVersion(frame.value.configVersion, since);
-      } else if (frame !== undefined) {
-        handlers.onFrame(frame);
-      }
+      if (message.frame?.$case === 'hello') this.#stream = stream;
+      if (message.frame !== undefined) this.#handleFrame(message.frame, message, tracker);
+    }
+  }
+
+  #handleFrame(frame: AgentFramePayload, message: AgentFrame, tracker: HeartbeatTracker): void {
+    const { handlers } = this.#options;
+    if (frame.$case === 'hello') handlers.onConnected(frame.value);
+    if (saysLeaving(message)) handlers.onLeaving(frame, message.leavingAgeMs);
+    if (frame.$case === 'heartbeat') {
+      const since = tracker.onHeartbeat(frame.value);
+      if (since !== undefined) handlers.onConfigVersion(frame.value.configVersion, since);
+    } else if (frame.$case !== 'hello') {
+      handlers.onFrame(frame);
     }
   }
 }
--- a/packages/protocol/src/link-server.ts
+++ b/packages/protocol/src/link-server.ts
@@ -1,6 +1,6 @@
 /** The agent's side of its links: a server to which each entry opens one long-lived stream. */
 import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js';
-import type { Clock, MonoTime } from '@hibiscushill/base';
+import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
 
 import { SERVER_OPTIONS } from './channel-options';
 import {
@@ -19,17 +19,21 @@
 export class LinkSession {
   readonly hello: EntryHello;
 
-  readonly #stream: Stream;
+  readonly #write: (frame: AgentFramePayload) => void;
+
+  readonly #end: () => void;
 
   #isOpen = true;
 
   /**
    * @param hello - the entry's hello
-   * @param stream - the gRPC stream
+   * @param write - writes a frame to the entry's stream
+   * @param end - ends the stream
    */
-  constructor(hello: EntryHello, stream: Stream) {
+  constructor(hello: EntryHello, write: (frame: AgentFramePayload) => void, end: () => void) {
     this.hello = hello;
-    this.#stream = stream;
+    this.#write = write;
+    this.#end = end;
   }
 
   /**
@@ -40,7 +44,7 @@
    */
   send(frame: AgentFramePayload): boolean {
     if (!this.#isOpen) return false;
-    this.#stream.write({ frame });
+    this.#write(frame);
     return true;
   }
 
@@ -48,7 +52,7 @@
   close(): void {
     if (!this.#isOpen) return;
     this.#isOpen = false;
-    this.#stream.end();
+    this.#end();
   }
 
   /** Whether frames can still be sent. */
@@ -59,6 +63,8 @@
 
 /** Callbacks for the agent. They are called one at a time for each session, in order. */
 export interface LinkServerHandlers {
+  /** For how long the target has been leaving, in milliseconds; undefined while it serves. */
+  readonly leavingAgeMs: Millis | undefined;
   /** An entry's hello has arrived and was answered. */
   onOpen(session: LinkSession): void;
   /** A frame other than hello and heartbeat has arrived. */
@@ -157,14 +163,26 @@
         return;
       }
       const heartbeat = tracker.createHeartbeat(this.#options.hello().configVersion);
-      stream.write({ frame: { $case: 'heartbeat', value: heartbeat } });
+      this.#write(stream, { $case: 'heartbeat', value: heartbeat });
     }, this.#options.heartbeat.intervalMs);
   }
 
+  /** Writes a frame, which says that the target is leaving if it is. */
+  #write(stream: Stream, frame: AgentFramePayload): void {
+    const { leavingAgeMs } = this.#options.handlers;
+    stream.write(
+      leavingAgeMs === undefined ? { frame } : { frame, leavingAgeMs: Math.floor(leavingAgeMs) },
+    );
+  }
+
   #openSession(hello: EntryHello, stream: Stream): LinkSession {
     const key = `${hello.entry}/${hello.incarnation}`;
     const replaced = this.#sessionsByEntry.get(key);
-    const session = new LinkSession(hello, stream);
+    const session = new LinkSession(
+      hello,
+      (frame) => this.#write(stream, frame),
+      () => stream.end(),
+    );
     this.#sessionsByEntry.set(key, session);
     replaced?.close();
     session.send({ $case: 'hello', value: this.#options.hello() });
