Choose no target whose agent has said that it is leaving

Cause: the entry chose by the last load report alone. An agent that leaves sends one first on each link, so that this mostly sufficed; a statement in any other frame was not heeded, and nothing held for the incarnation whatever a later frame or list said. Where all targets left, the caller got no_target or target_leaving, after 750 ms when the links were down.

Change: a target's view, the wait for reopened links, weight orders and /status take what LeavingNotices has on the incarnation, and no longer the last load report. Where all targets of a service leave, the refusal is targets_leaving with the run state of the request and a time to come back (no-target.ts). A request that an earlier incarnation refused as leaving may go to the next incarnation of the same target.

--- a/packages/entry/src/agent-client.ts
+++ b/packages/entry/src/agent-client.ts
@@ -150,6 +150,12 @@
     return this.#attempts.size;
   }
 
+  /** Whether the target is leaving, as its agent has said or as the instance list says. */
+  get isLeaving(): boolean {
+    if (this.#isListedLeaving) return true;
+    return this.#hello !== undefined && this.#options.leaving.isLeaving(this.#hello);
+  }
+
   /** Sets whether the platform's instance list reports the target as leaving. */
   setListedLeaving(isLeaving: boolean): void {
     this.#isListedLeaving = isLeaving;
@@ -175,7 +181,7 @@
    */
   createTargetView(isEjected: boolean): TargetView | undefined {
     if (this.#hello === undefined) return undefined;
-    const { running, queued, queuedTokens, slots, leaving, ready, weights } = this.#load;
+    const { running, queued, queuedTokens, slots, ready, weights } = this.#load;
     return {
       id: this.#hello.target as TargetId,
       zone: this.#hello.availabilityZone as ZoneId,
@@ -183,7 +189,7 @@
       reported: { running, queued, queuedTokens, slots, receivedAt: this.#loadAt },
       sentSinceReport: this.#sentSinceLoad,
       endedSinceReport: this.#endedSinceLoad,
-      leaving: leaving || this.#isListedLeaving,
+      leaving: this.isLeaving,
       ejected: isEjected,
       ready: ready && this.#isConnected,
       weights: new Map(
--- a/packages/entry/src/agent-pool.ts
+++ b/packages/entry/src/agent-pool.ts
@@ -111,7 +111,7 @@
     return this.clients.some(
       (client) =>
         client.service === service &&
-        !client.load.leaving &&
+        !client.isLeaving &&
         !(client.isConnected && client.load.ready),
     );
   }
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -25,6 +25,7 @@
 
 import type { AgentPool } from './agent-pool';
 import { DispatchState, type DispatchRequest, type OpenResponse } from './dispatch';
+import { createNoTargetFailure, explainLeaving } from './no-target';
 import type { OutgoingAttempt } from './outgoing-attempt';
 
 /** The agents, policies and limits of a dispatcher. */
@@ -40,8 +41,6 @@
   readonly configVersion: () => number;
 }
 
-const NO_TARGET_RETRY_AFTER_MS: Millis = 500;
-
 /** How long a request waits for links that are being reopened. */
 const RECONNECT_WAIT_MS: Millis = 750;
 
@@ -74,11 +73,11 @@
     this.#options.retryBudget.recordFirstAttempt(req.service);
     for (;;) {
       const started = await this.#startAfterReconnect(state);
-      if (started.isErr()) return err(this.#addRunState(state, started.error));
+      if (started.isErr()) return err(this.#explain(state, started.error));
       const outcome = await this.#waitForHead(state);
       if (outcome.isOk()) return outcome;
       const failure = this.#decideRetry(state, outcome.error);
-      if (failure !== undefined) return err(failure);
+      if (failure !== undefined) return err(this.#explain(state, failure));
     }
   }
 
@@ -112,7 +111,7 @@
     const { req } = state;
     for (;;) {
       const target = this.#chooseTarget(state);
-      if (target === undefined) return err(this.#createNoTargetFailure(state));
+      if (target === undefined) return err(createNoTargetFailure(state));
       state.triedTargets.add(target);
       const attempt = this.#sendAttempt(state, target);
       if (attempt !== undefined) {
@@ -310,6 +309,12 @@
     return state.mayHaveRun ? { ...failure, run: 'may-have-run' } : failure;
   }
 
+  #explain(state: DispatchState, failure: Failure): Failure {
+    return explainLeaving(this.#addRunState(state, failure), () =>
+      this.#options.pool.listTargets(state.req.service),
+    );
+  }
+
   #cancelOthers(state: DispatchState, kept: OutgoingAttempt | undefined): void {
     state.openAttempts.filter((attempt) => attempt !== kept).forEach((attempt) => attempt.cancel());
     state.openAttempts.splice(0);
@@ -322,17 +327,6 @@
   ): void {
     this.#options.pool.ejectorOf(req.service).recordOutcome(attempt.target, outcome);
   }
-
-  #createNoTargetFailure(state: DispatchState): Failure {
-    if (state.lastFailure !== undefined) return state.lastFailure;
-    // The target that may have run an earlier request with this idempotency key is not available.
-    const run = state.req.idempotencyKey === '' ? 'not-run' : 'may-have-run';
-    return createFailure('no_target', {
-      run,
-      detail: `number of attempts made: ${state.attemptCount}`,
-      retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
-    });
-  }
 }
 
 // Rendezvous hashing sends all requests with one idempotency key to the same target, whose agent
@@ -358,11 +352,12 @@
 ]);
 
 // Failures after which the same target may be tried again: it did not run this attempt, but can
-// run another one.
+// run another one. A leaving target is left out until it has a new incarnation.
 const SAME_TARGET_RETRY_CODES: ReadonlySet<CodeName> = new Set<CodeName>([
   'attempt_revoked',
   'incarnation_stale',
   'config_stale',
+  'target_leaving',
 ]);
 
 function isTargetFault(code: CodeName): boolean {
--- a/packages/entry/src/link-weight-order-sender.ts
+++ b/packages/entry/src/link-weight-order-sender.ts
@@ -21,6 +21,7 @@
 } from '@hibiscushill/rollout';
 import { ResultAsync, err, ok } from 'neverthrow';
 
+import type { AgentClient } from './agent-client';
 import type { AgentPool } from './agent-pool';
 
 const SWAP_TIMEOUT_MS: Millis = 20_000;
@@ -67,6 +68,9 @@
 
   override swap(target: TargetId, order: WeightOrder): ResultAsync<WeightState, Failure> {
     const { fencing, trainer, version } = order;
+    if (this.#findAgent(target, trainer)?.isLeaving) {
+      return new ResultAsync(Promise.resolve(err(createFailure('target_leaving'))));
+    }
     // A unique id, so that this call gets its own report even if an order is sent more than once.
     const attemptId = `${order.order}/${createId<RecordId>()}`;
     const value = { order: attemptId, fencing, trainer, version };
@@ -91,6 +95,11 @@
     );
   }
 
+  #findAgent(target: TargetId, trainer: TrainerId): AgentClient | undefined {
+    const service = this.#options.findService(trainer);
+    return service && this.#options.pool.findClient(service, target);
+  }
+
   #sendAndWait(
     target: TargetId,
     trainer: TrainerId,
@@ -98,9 +107,7 @@
     frame: EntryFramePayload,
     timeoutMs: Millis,
   ): ResultAsync<WeightState, Failure> {
-    const service = this.#options.findService(trainer);
-    const client = service && this.#options.pool.findClient(service, target);
-    if (!client?.send(frame))
+    if (!this.#findAgent(target, trainer)?.send(frame))
       return new ResultAsync(Promise.resolve(err(createFailure('target_down'))));
     const report = new Promise<WeightReport | undefined>((resolve) => {
       const timer = setTimeout(() => this.#waiters.get(order)?.(undefined), timeoutMs);
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -66,7 +66,7 @@
       configVersion: client.configVersion,
       up: client.isConnected,
       ready: client.load.ready,
-      leaving: client.load.leaving,
+      leaving: client.isLeaving,
       running: client.load.running,
       queued: client.load.queued,
       slots: client.load.slots,
