Use a new incarnation of an agent though the last list had its target leaving

Cause: what the instance list says was kept by address. With the list cut off, or until it is read again, a new incarnation at the address of one that had been listed as leaving got no requests.

Change: a new incarnation at the address begins without it; the next list that is read says again what holds.

--- a/packages/entry/src/agent-client.ts
+++ b/packages/entry/src/agent-client.ts
@@ -270,12 +270,16 @@
   }
 
   onConnected(hello: AgentHello): void {
-    const isSame = this.#hello?.incarnation === hello.incarnation;
+    const earlier = this.#hello;
     clearTimeout(this.#reattachTimer);
     this.#hello = hello;
     this.#isConnected = true;
     this.#options.leaving.recordConnected(hello);
-    if (!isSame) this.#failAttempts('the agent has restarted');
+    if (earlier !== undefined && earlier.incarnation !== hello.incarnation) {
+      // What the list says is older than the new incarnation.
+      this.#isListedLeaving = false;
+      this.#failAttempts('the agent has restarted');
+    }
     this.#pendingCancels.forEach((attempt) => this.send({ $case: 'cancel', value: { attempt } }));
     this.#pendingCancels.clear();
     this.#attempts.forEach((attempt) => this.#sendAttach(attempt));
--- a/packages/entry/test/leaving-targets.test.ts
+++ b/packages/entry/test/leaving-targets.test.ts
@@ -173,6 +173,20 @@
     expect(entry.metrics.counts()).toMatchObject({ 'leaving.learnt': 1, 'leaving.ended': 1 });
   });
 
+  it('gets requests in a new incarnation though the last list that was read had it leaving', async () => {
+    entry.close();
+    first.listedState = 'leaving';
+    entry = await TestEntry.start([first, second]);
+    await entry.list.cut();
+    await entry.sendMany(REQUESTS);
+    expect(first.runs).toHaveLength(0);
+    const { port } = first;
+    first.close();
+    const next = await startAgent('t1', 'i3', { port });
+    await waitForIncarnation(next);
+    await sendUntilReached(next);
+  });
+
   it('gets requests in a new incarnation after a late answer of the earlier one', async () => {
     entry.close();
     entry = await TestEntry.start([first, second]);
