Eject no target whose leaving agent ends its link

Cause: a lost link counts as silence, which ejects a target by its id for 1 s or longer, with three targets or more. An agent that leaves ends its links, so its next incarnation got no requests for that time.

Change: the end of a link to an agent that is known to leave is not recorded.

The other cases of the file now have three targets in place of two; their expectations hold for each of them.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -441,6 +441,8 @@
 
   #recordDisconnect(client: AgentClient): void {
     if (client.service === undefined || client.target === undefined) return;
+    // An agent that leaves ends its links; its next incarnation must not be ejected for that.
+    if (client.isLeaving) return;
     this.#pool.ejectorOf(client.service).recordOutcome(client.target, 'silent');
   }
 }
--- a/packages/entry/test/leaving-refusal.test.ts
+++ b/packages/entry/test/leaving-refusal.test.ts
@@ -19,11 +19,12 @@
 
 describe('an entry that is cut off from the log and the list', () => {
   const agents: FakeAgent[] = [];
+  let config: ConfigStore;
   let entry: Entry;
 
   beforeEach(async () => {
-    const config = createConfig();
-    for (const target of ['t1', 't2']) {
+    config = createConfig();
+    for (const target of ['t1', 't2', 't3']) {
       agents.push(await FakeAgent.start({ target, incarnation: `${target}/1`, config }));
     }
     const list = new ListServer();
@@ -42,6 +43,14 @@
     return fetch(`http://${entry.addresses.listening}/s/${SERVICE}/things`);
   }
 
+  async function readStatus() {
+    const status = await fetch(`http://${entry.addresses.listening}/status`);
+    return (await status.json()) as {
+      targets: { leaving: boolean; incarnation: string }[];
+      counts: Record<string, number>;
+    };
+  }
+
   function leave(agent: FakeAgent): void {
     const { code } = RESULT_CODES.target_leaving;
     // eslint-disable-next-line no-param-reassign
@@ -52,12 +61,29 @@
   }
 
   it('serves callers at the target that does not leave', async () => {
-    const [first, second] = agents as [FakeAgent, FakeAgent];
+    const [first, ...others] = agents as [FakeAgent, FakeAgent, FakeAgent];
     leave(first);
     first.runs.splice(0);
     for (let i = 0; i < 20; i += 1) expect((await get()).status).toBe(200);
     expect(first.runs.length).toBeLessThanOrEqual(1);
-    expect(second.runs.length).toBeGreaterThanOrEqual(20);
+    expect(others.flatMap(({ runs }) => runs).length).toBeGreaterThanOrEqual(20);
+  });
+
+  it('uses a new incarnation at once, though the link to the earlier one was lost', async () => {
+    const [first] = agents as [FakeAgent];
+    leave(first);
+    while (first.runs.length === 0) await get();
+    const { port, target } = first;
+    first.close();
+    const next = await FakeAgent.start({ target, incarnation: 't1/2', port, config });
+    agents.push(next);
+    await vi.waitFor(async () => {
+      const { targets } = await readStatus();
+      const found = targets.find(({ incarnation }) => incarnation === 't1/2');
+      expect(found).toMatchObject({ up: true, ready: true, leaving: false });
+    }, 5_000);
+    for (let i = 0; i < 30; i += 1) expect((await get()).status).toBe(200);
+    expect(next.runs.length).toBeGreaterThan(0);
   });
 
   it('refuses callers with a code of its own and the time to come back when all leave', async () => {
@@ -73,13 +99,9 @@
     expect(second.headers.get('retry-after')).toBe('1');
     expect(await second.json()).toMatchObject(refusal);
     expect(agents.flatMap(({ runs }) => runs)).toHaveLength(0);
-    const status = await fetch(`http://${entry.addresses.listening}/status`);
-    const { targets, counts } = (await status.json()) as {
-      targets: { leaving: boolean }[];
-      counts: Record<string, number>;
-    };
-    expect(targets.map(({ leaving }) => leaving)).toEqual([true, true]);
-    expect(counts).toMatchObject({ 'leaving.learnt': 2, 'refused.targets_leaving': 2 });
+    const { targets, counts } = await readStatus();
+    expect(targets.map(({ leaving }) => leaving)).toEqual([true, true, true]);
+    expect(counts).toMatchObject({ 'leaving.learnt': 3, 'refused.targets_leaving': 2 });
   });
 });
 
