--- a/packages/entry/src/agent-client.ts
+++ b/packages/entry/src/agent-client.ts
@@ -27,6 +27,7 @@
 import type { TargetView } from '@hibiscushill/routing';
 import type { XXHashAPI } from 'xxhash-wasm';
 
+import type { LeavingNotices } from './leaving-notices';
 import {
   type AttemptLink,
   type AttemptIdentity,
@@ -60,6 +61,8 @@
   /** Creates the hello that the link starts with. */
   readonly hello: () => EntryHello;
   readonly sync: ConfigSync;
+  /** What agents have said about targets that are leaving. */
+  readonly leaving: LeavingNotices;
   /** Called with usage items that the agent asks this entry to log. */
   readonly onUsage: (items: readonly UsageItem[], client: AgentClient) => void;
   readonly onWeightReport: (report: WeightReport) => void;
@@ -147,6 +150,12 @@
     return this.#attempts.size;
   }
 
+  /** Whether the target is leaving, as its agent has said or as the instance list says. */
+  get isLeaving(): boolean {
+    if (this.#isListedLeaving) return true;
+    return this.#hello !== undefined && this.#options.leaving.isLeaving(this.#hello);
+  }
+
   /** Sets whether the platform's instance list reports the target as leaving. */
   setListedLeaving(isLeaving: boolean): void {
     this.#isListedLeaving = isLeaving;
@@ -172,7 +181,7 @@
    */
   createTargetView(isEjected: boolean): TargetView | undefined {
     if (this.#hello === undefined) return undefined;
-    const { running, queued, queuedTokens, slots, leaving, ready, weights } = this.#load;
+    const { running, queued, queuedTokens, slots, ready, weights } = this.#load;
     return {
       id: this.#hello.target as TargetId,
       zone: this.#hello.availabilityZone as ZoneId,
@@ -180,7 +189,7 @@
       reported: { running, queued, queuedTokens, slots, receivedAt: this.#loadAt },
       sentSinceReport: this.#sentSinceLoad,
       endedSinceReport: this.#endedSinceLoad,
-      leaving: leaving || this.#isListedLeaving,
+      leaving: this.isLeaving,
       ejected: isEjected,
       ready: ready && this.#isConnected,
       weights: new Map(
@@ -261,11 +270,16 @@
   }
 
   onConnected(hello: AgentHello): void {
-    const isSame = this.#hello?.incarnation === hello.incarnation;
+    const earlier = this.#hello;
     clearTimeout(this.#reattachTimer);
     this.#hello = hello;
     this.#isConnected = true;
-    if (!isSame) this.#failAttempts('the agent has restarted');
+    this.#options.leaving.recordConnected(hello);
+    if (earlier !== undefined && earlier.incarnation !== hello.incarnation) {
+      // What the list says is older than the new incarnation.
+      this.#isListedLeaving = false;
+      this.#failAttempts('the agent has restarted');
+    }
     this.#pendingCancels.forEach((attempt) => this.send({ $case: 'cancel', value: { attempt } }));
     this.#pendingCancels.clear();
     this.#attempts.forEach((attempt) => this.#sendAttach(attempt));
@@ -284,6 +298,13 @@
     this.#options.onConnectionLost(this);
   }
 
+  onLeaving(frame: AgentFramePayload, ageMs: Millis | undefined): void {
+    if (this.#hello === undefined) return;
+    const attempt = 'attempt' in frame.value ? frame.value.attempt : '';
+    const request = this.#findAttempt(attempt)?.request;
+    this.#options.leaving.record(this.#hello, { frame, request, ageMs });
+  }
+
   onConfigVersion(version: number, since: MonoTime): void {
     this.#configVersion = version;
     this.#options.sync.receiveVersion(this, version, since);
