--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -85,12 +85,6 @@
     'No target of the service can take the request.',
     'Wait, then retry.',
   ),
-  targets_leaving: defineCode(
-    3009,
-    503,
-    'All targets of the service are leaving.',
-    'Wait, then retry.',
-  ),
   target_leaving: defineCode(3002, 503, 'The target is leaving.', 'Retry.'),
   target_down: defineCode(3003, 502, 'The target did not take the request.', 'Wait, then retry.'),
   not_ready: defineCode(3004, 503, 'The process has no configuration yet.', 'Wait, then retry.'),
