--- a/packages/gateway/src/control-tasks.ts
+++ b/packages/gateway/src/control-tasks.ts
@@ -159,9 +159,13 @@
     const flushed = Promise.all([this.#writer.flush(), this.#usageTracker.flush()]);
     await Promise.race([flushed, clock.sleep(Math.max(0, endsAt - clock.mono()), stop.signal)]);
     stop.abort();
+    this.#runner.stop();
+  }
+
+  /** Gives up what the log hasn't taken; called once no further requests are served. */
+  close(): void {
     this.#writer.stop();
     this.#usageTracker.stop();
-    this.#runner.stop();
   }
 
   /** Whether all submissions that were on the log when the duty was gained have been read. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -263,6 +263,11 @@
     this.#logger.info('Shutdown of the gateway process is complete.');
   }
 
+  /** Gives up what the log hasn't taken; called after `stop`, once no further requests come. */
+  close(): void {
+    this.#controlTasks.close();
+  }
+
   #createKeyedTail(log: KeyedLog, reader: KeyedRecordHandler): KeyedTail {
     const { clock, random, metrics } = this.#options;
     return new KeyedTail({ log, clock, random, metrics }, reader);
