Log the content of requests whose connection ends while a target runs them

The line of a failed attempt named only the request's id, which is new with each try of the caller, so that it could not be told whether two lines were of the same content; a broken connection, a time-out and a response of another request had one type. No behaviour changes.

--- a/packages/base/src/ids.ts
+++ b/packages/base/src/ids.ts
@@ -42,6 +42,9 @@
 /** One attempt to run a request at one target. */
 export type AttemptId = Brand<string, 'AttemptId'>;
 
+/** Identifies what a request consists of: the same for each time that a caller sends it. */
+export type ContentDigest = Brand<string, 'ContentDigest'>;
+
 /** The unique id of a record on the platform's log. */
 export type RecordId = Brand<string, 'RecordId'>;
 
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,7 @@
 export { createId } from './ids';
 export type {
   AttemptId,
+  ContentDigest,
   Brand,
   ConfigVersion,
   FencingNumber,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt to run a request at one target. */
 import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
+import type { TargetOutcome } from '@hibiscushill/routing';
 
 import type { CallerReply } from './caller-port';
 import {
@@ -26,11 +27,20 @@
   | { readonly type: 'not-run'; readonly reason: string }
   | { readonly type: 'lost'; readonly reason: string };
 
+/**
+ * What the end of an attempt says about its request: a target responded completely (`answered`) or
+ * stated that it has not run it (`not-run`); the connection ended before the response did
+ * (`broken`); or nothing, since the gateway ended the attempt or the response was another one's.
+ */
+export type AttemptEnd = 'answered' | 'not-run' | 'broken' | 'unknown';
+
 /** The client, and where the outcome is recorded. */
 export interface AttemptOptions {
   readonly client: TargetClient;
   readonly stats: TargetStats;
   readonly clock: Clock;
+  /** Called once, when the response is complete or the attempt has ended without one. */
+  readonly onEnded?: (attempt: Attempt, end: AttemptEnd) => void;
 }
 
 /**
@@ -89,6 +99,11 @@
     this.#abort = options.client.call(call, this);
   }
 
+  /** The status of the response; undefined before its head has arrived. */
+  get status(): number | undefined {
+    return this.#head?.status;
+  }
+
   /** How long ago the request was sent, in milliseconds. */
   get ageMs(): Millis {
     return this.#options.clock.mono() - this.#sentAt;
@@ -97,7 +112,7 @@
   /** Ends the attempt without recording an outcome for the target. */
   cancel(): void {
     if (this.#hasEnded) return;
-    this.#finish();
+    this.#finish('unknown');
     this.#abort();
     this.#resolve({ type: 'lost', reason: 'cancelled' });
   }
@@ -105,7 +120,7 @@
   /** Ends the attempt because the target did not respond in time. */
   timeOut(): void {
     if (this.#hasEnded) return;
-    this.#finish('silent');
+    this.#finish('unknown', 'silent');
     this.#abort();
     this.#resolve({ type: 'lost', reason: 'silent' });
   }
@@ -140,7 +155,7 @@
     if (this.#hasEnded) return;
     if (head.echo !== undefined && head.echo !== id) {
       // A late response to an earlier request on the same connection.
-      this.#finish('failed');
+      this.#finish('unknown', 'failed');
       this.#abort();
       this.#resolve({ type: 'lost', reason: 'the response belongs to another request' });
       return;
@@ -169,8 +184,13 @@
     const head = this.#head;
     if (this.#hasEnded || !head) return;
     const isError = head.status >= MIN_ERROR_STATUS && !head.hasNotRun;
-    this.#finish(isError ? 'failed' : 'answered', isError ? undefined : this.ageMs);
-    if (head.hasNotRun || head.status === STATUS_MISDIRECTED) {
+    const hasNotRun = head.hasNotRun || head.status === STATUS_MISDIRECTED;
+    this.#finish(
+      hasNotRun ? 'not-run' : 'answered',
+      isError ? 'failed' : 'answered',
+      isError ? undefined : this.ageMs,
+    );
+    if (hasNotRun) {
       this.#resolve({ type: 'not-run', reason: `status ${head.status}` });
     } else {
       this.#resolve({ type: 'answered', head, body: Buffer.concat(this.#chunks) });
@@ -180,7 +200,7 @@
 
   override onFailure(failure: CallFailure): void {
     if (this.#hasEnded) return;
-    this.#finish('failed');
+    this.#finish(failure.run === 'not-run' ? 'not-run' : 'broken', 'failed');
     const type = failure.run === 'not-run' ? 'not-run' : 'lost';
     this.#resolve({ type, reason: failure.reason });
     this.#endRelay(failure.reason);
@@ -208,7 +228,7 @@
   /** Ends a response at its deadline, which says nothing about the target. */
   #cutRelay(): void {
     if (this.#hasEnded) return;
-    this.#finish();
+    this.#finish('unknown');
     this.#abort();
     this.#endRelay('the response had not been passed on at its deadline');
   }
@@ -223,9 +243,10 @@
     this.#onRelayEnd(reason);
   }
 
-  #finish(outcome?: 'answered' | 'failed' | 'silent', tookMs?: Millis): void {
+  #finish(end: AttemptEnd, outcome?: TargetOutcome, tookMs?: Millis): void {
     this.#hasEnded = true;
     this.#deadlineStop?.abort();
     this.#options.stats.recordEnded(this.call.target.id, outcome, tookMs);
+    this.#options.onEnded?.(this, end);
   }
 }
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -15,8 +15,9 @@
 } from '@hibiscushill/base';
 import { jitterRetryAfter } from '@hibiscushill/routing';
 
-import { Attempt, type AttemptResult } from './attempt';
+import { Attempt, type AttemptEnd, type AttemptResult } from './attempt';
 import type { GatewayAnswer } from './caller-port';
+import { createContentDigest } from './request-content';
 import type { TargetDirectory, TargetRegistration } from './target-directory';
 import type { RouteBackend, ServingRoute } from './serving-config';
 import type { TargetChooser } from './target-chooser';
@@ -367,7 +368,7 @@
     this.#attempts += 1;
     this.#possibleRuns += 1;
     const attempt = new Attempt(
-      { client, stats, clock },
+      { client, stats, clock, onEnded: (ended, end) => this.#recordEnd(ended, end) },
       {
         target,
         method,
@@ -389,6 +390,23 @@
     });
   }
 
+  /** Logs that the connection of an attempt ended before its response did. */
+  #recordEnd(attempt: Attempt, end: AttemptEnd): void {
+    if (end !== 'broken') return;
+    const { id, startedAt, service } = attempt.call.target;
+    this.#options.metrics.count('attempt.broken');
+    this.#options.logger.info('A connection ended while a target ran a request.', {
+      id: this.#req.id,
+      content: createContentDigest(this.#req),
+      kind: this.#kind,
+      target: id,
+      startedAt,
+      service,
+      ageMs: Math.round(attempt.ageMs),
+      status: attempt.status,
+    });
+  }
+
   #expire(): ForwardResult {
     const run = this.#possibleRuns > 0 ? 'may-have-run' : 'not-run';
     this.#active.forEach((attempt) => attempt.timeOut());
