--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,9 +7,9 @@
 export { createId } from './ids';
 export type {
   AttemptId,
-  ContentDigest,
   Brand,
   ConfigVersion,
+  ContentDigest,
   FencingNumber,
   IncarnationId,
   InstanceId,
