Run requests alone, and then no more, while whose runs targets crashed

Cause: what an attempt showed was forgotten with its request. A caller's next try has another id and may come to another process, so the same content was sent to two targets each time.

Now a request is a suspect when a connection breaks while a target runs it, until a target answers it. All processes tell one another over the log. A request that only ran beside a crash is answered in between, or in its trial. Items and scoring calls are no suspects.

Why it works: a bound over all processes needs their common knowledge, and the log is the only order that they share. Without the log no trial is granted.

--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -109,6 +109,18 @@
     'All targets of the service limit their requests, and no turn is free in time.',
     'Wait, then retry.',
   ),
+  request_crashes_targets: defineCode(
+    3011,
+    503,
+    'The connections of several targets broke while they ran the request; it is not run again.',
+    'Do not send it again; report it to the operators of its service.',
+  ),
+  request_suspected: defineCode(
+    3012,
+    503,
+    'The connections of targets broke while they ran the request; it waits until it can run alone.',
+    'Wait, then retry.',
+  ),
   outcome_unknown: defineCode(
     4001,
     502,
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -22,7 +22,7 @@
   LogTail,
 } from '@hibiscushill/log';
 
-import { LimitShares } from '@hibiscushill/routing';
+import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
 
 import { ConfigTracker } from './config-tracker';
 import { ControlDuty } from './control-duty';
@@ -38,6 +38,7 @@
 import { LowestLatencyChooser } from './target-chooser';
 import type { TargetClient } from './target-port';
 import { LimitExchange } from './limit-exchange';
+import { SuspectExchange } from './suspect-exchange';
 import { TargetLimiter } from './target-limiter';
 import { TargetStats } from './target-stats';
 import { PayloadStore } from './payload-store';
@@ -141,6 +142,8 @@
 
   readonly #limitExchange: LimitExchange;
 
+  readonly #suspectExchange: SuspectExchange;
+
   readonly #submissions = new SubmissionRegistry();
 
   readonly #configTail: KeyedTail;
@@ -206,6 +209,13 @@
       shares,
       listProcesses: () => this.#duty.otherInstances,
     });
+    this.#suspectExchange = new SuspectExchange({
+      ...options,
+      logger: createPartLogger('gateway.suspects'),
+      tail: this.#dutyTail,
+      suspects: new SuspectRequests(),
+      isRepeating: () => this.#duty.isHeld,
+    });
     const receivers = { directory: this.#directory, limiter: this.#limiter };
     const client = options.createClient(receivers);
     const forwarder = this.#createForwarder(createPartLogger, client);
@@ -316,6 +326,7 @@
       directory: this.#directory,
       limiter: this.#limiter,
       stats: this.#targetStats,
+      suspects: this.#suspectExchange,
       chooser: new LowestLatencyChooser({ stats: this.#targetStats, zone, random }),
       onRun: (req, at) => {
         if (req.team !== undefined) this.#controlTasks.countRequest(req.team, at);
@@ -328,6 +339,7 @@
       this.#lastOutageAt = this.#options.clock.mono();
     }
     this.#limitExchange.run();
+    this.#suspectExchange.run();
     this.#controlTasks.runDueTasks();
   }
 
--- a/packages/gateway/src/request-content.ts
+++ b/packages/gateway/src/request-content.ts
@@ -14,7 +14,17 @@
 }
 
 // 128 bits: no two requests of a deployment have the same digest.
-const DIGEST_LENGTH_HEX = 32;
+const HASH_LENGTH_HEX = 32;
+
+/** The lengths of a request's path and body, which its digest begins with. */
+export function getContentShape({ path, body }: RequestContent): string {
+  return `${path.length}.${body.length}`;
+}
+
+/** The shape of the request that a digest was computed of. */
+export function getDigestShape(digest: ContentDigest): string {
+  return digest.slice(0, digest.lastIndexOf('.'));
+}
 
 /** Computes the digest of a request's content, which is the same in all processes. */
 export function createContentDigest(content: RequestContent): ContentDigest {
@@ -22,5 +32,5 @@
   // JSON separates the parts, which may contain any character.
   const head = JSON.stringify([team ?? null, host.toLowerCase(), method, path]);
   const hash = createHash('sha256').update(`${head}\n`).update(body).digest('hex');
-  return hash.slice(0, DIGEST_LENGTH_HEX) as ContentDigest;
+  return `${getContentShape(content)}.${hash.slice(0, HASH_LENGTH_HEX)}` as ContentDigest;
 }
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -13,11 +13,12 @@
   type TargetId,
   type TeamId,
 } from '@hibiscushill/base';
-import { jitterRetryAfter } from '@hibiscushill/routing';
+import { type RunPermit, jitterRetryAfter } from '@hibiscushill/routing';
 
 import { Attempt, type AttemptEnd, type AttemptResult } from './attempt';
 import type { GatewayAnswer } from './caller-port';
-import { createContentDigest } from './request-content';
+import { ScreenedRequest } from './screened-request';
+import type { SuspectExchange } from './suspect-exchange';
 import type { TargetDirectory, TargetRegistration } from './target-directory';
 import type { RouteBackend, ServingRoute } from './serving-config';
 import type { TargetChooser } from './target-chooser';
@@ -34,6 +35,8 @@
 const MIN_REMAINING_MS = 5;
 // A service without a free slot is likely to have one a few average latencies later.
 const NO_TARGET_RETRY_MS = 120;
+// Several suspected requests may wait for their trials, which each take some average latencies.
+const TRIAL_RETRY_MS = 300;
 // A retry is likely to reach another process, which may be able to serve it at once.
 const OTHER_PROCESS_RETRY_MS = 40;
 
@@ -96,6 +99,7 @@
   readonly stats: TargetStats;
   readonly limiter: TargetLimiter;
   readonly chooser: TargetChooser;
+  readonly suspects: SuspectExchange;
   /** Called for each attempt that a target may have run. */
   readonly onRun: (req: ForwardRequest, at: MonoTime) => void;
 }
@@ -159,6 +163,9 @@
 
   readonly #isRepeatable: boolean;
 
+  /** Undefined for a scoring call: items and their calls are not suspected of crashing targets. */
+  readonly #screened: ScreenedRequest | undefined;
+
   readonly #active = new Set<Attempt>();
 
   readonly #triedTargets = new Set<TargetId>();
@@ -170,6 +177,9 @@
 
   #isHedged = false;
 
+  /** Why the next attempt was not started, if the request may be what crashes targets. */
+  #deniedPermit: RunPermit | undefined;
+
   #lastReason = 'no target is available';
 
   #lastErrorResponse: Extract<ForwardResult, { type: 'answered' }> | undefined;
@@ -180,14 +190,14 @@
     this.#service = pickBackend(req.route.backends, options.random);
     const { kind, isResumable } = req.route;
     this.#isRepeatable = kind === 'idempotent' || (kind === 'stream' && isResumable);
+    if (this.#kind === 'request') this.#screened = new ScreenedRequest(options.suspects, req);
   }
 
   async run(): Promise<ForwardResult> {
     this.#options.limiter.recordDemand(this.#service);
     try {
       for (;;) {
-        const isRunning =
-          this.#active.size > 0 || this.#startAttempt() || (await this.#startAfterWait());
+        const isRunning = this.#active.size > 0 || (await this.#startNext());
         if (!isRunning) return this.#endWithoutResponse();
         const step = await this.#waitForStep();
         const result = this.#handleStep(step);
@@ -198,6 +208,22 @@
     }
   }
 
+  /** Starts the next attempt; returns false if it can't be started or must not be. */
+  async #startNext(): Promise<boolean> {
+    const permit = this.#mayStartAttempt() ? (this.#screened?.permit ?? 'free') : 'free';
+    const mayRun = permit === 'free' || (permit === 'alone' && (await this.#claimTrial()));
+    this.#deniedPermit = mayRun ? undefined : permit;
+    if (!mayRun) return false;
+    const hasStarted = this.#startAttempt() || (await this.#startAfterWait());
+    if (!hasStarted) this.#screened?.endTrial();
+    return hasStarted;
+  }
+
+  async #claimTrial(): Promise<boolean> {
+    this.#options.metrics.count('suspect.claimed');
+    return (await this.#screened?.claimTrial(this.#service, this.#remainingMs())) ?? false;
+  }
+
   #remainingMs(): Millis {
     return this.#req.endsAt - this.#options.clock.mono();
   }
@@ -240,7 +266,9 @@
         return this.#expire();
       case 'hedge':
         this.#isHedged = true;
-        if (this.#startAttempt()) this.#options.metrics.count('request.hedged');
+        if (!this.#screened?.isSuspect && this.#startAttempt()) {
+          this.#options.metrics.count('request.hedged');
+        }
         return undefined;
       default:
         this.#active.delete(step.attempt);
@@ -390,14 +418,15 @@
     });
   }
 
-  /** Logs that the connection of an attempt ended before its response did. */
+  /** Reports how an attempt ended, and logs that its connection did before its response. */
   #recordEnd(attempt: Attempt, end: AttemptEnd): void {
+    this.#screened?.recordEnd(attempt, end);
     if (end !== 'broken') return;
     const { id, startedAt, service } = attempt.call.target;
     this.#options.metrics.count('attempt.broken');
     this.#options.logger.info('A connection ended while a target ran a request.', {
       id: this.#req.id,
-      content: createContentDigest(this.#req),
+      content: this.#screened?.digest,
       kind: this.#kind,
       target: id,
       startedAt,
@@ -428,6 +457,7 @@
     }
     if (this.#req.isStopped?.()) return { type: 'cancelled' };
     if (!this.#req.mayRun()) return this.#refuse('config_stale', OTHER_PROCESS_RETRY_MS);
+    if (this.#deniedPermit) return this.#refuseSuspect(this.#deniedPermit);
     const turnMs = this.#findTurnInterval();
     if (turnMs !== undefined) return this.#refuse('targets_limited', turnMs);
     const code = this.#areAllTargetsLeaving() ? 'targets_leaving' : 'no_target';
@@ -459,6 +489,14 @@
       answer: createGatewayAnswer(code, this.#lastReason, { retryAfterMs }),
     };
   }
+
+  /** Refuses a request that may be what crashes targets: for good, or until it can run alone. */
+  #refuseSuspect(permit: RunPermit): ForwardResult {
+    this.#lastReason = `the connections of targets broke while they ran content ${this.#screened?.digest}`;
+    if (permit !== 'never') return this.#refuse('request_suspected', TRIAL_RETRY_MS);
+    const answer = createGatewayAnswer('request_crashes_targets', this.#lastReason);
+    return { type: 'refused', answer };
+  }
 }
 
 /** Lists the targets that run fewer scoring calls than they have slots to spare. */
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -25,6 +25,7 @@
   ManualClient,
   createLimiter,
   createMetrics,
+  createSuspectExchange,
   createRoute,
   createTarget,
   logger,
@@ -67,6 +68,7 @@
     directory,
     stats,
     limiter,
+    suspects: createSuspectExchange(clock),
     chooser: new LowestLatencyChooser({ stats, zone: 'zone-a' as ZoneId, random }),
     onRun: () => {
       runs += 1;
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -29,6 +29,7 @@
   createHead,
   createLimiter,
   createMetrics,
+  createSuspectExchange,
   createRoute,
   createTarget,
   logger,
@@ -115,6 +116,7 @@
     directory,
     stats,
     limiter: createLimiter(clock),
+    suspects: createSuspectExchange(clock),
     chooser,
     onRun: () => undefined,
   });
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -43,6 +43,7 @@
   createItem,
   createLimiter,
   createMetrics,
+  createSuspectExchange,
   createRoute,
   createTarget,
   createTerms,
@@ -99,6 +100,7 @@
     random,
     directory,
     stats,
+    suspects: createSuspectExchange(clock),
     chooser,
     onRun: () => undefined,
   });
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -1,9 +1,11 @@
 /** Factories and fakes for the gateway's tests. */
 import {
   type Clock,
+  type IncarnationId,
   type InstanceId,
   type ManualClock,
   Metrics,
+  RandomSource,
   type RequestId,
   type ServiceId,
   type TargetId,
@@ -13,9 +15,11 @@
   type ZoneId,
   createLogger,
 } from '@hibiscushill/base';
-import { LimitShares } from '@hibiscushill/routing';
+import { LogTail, MemoryLog } from '@hibiscushill/log';
+import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
 
 import type { ItemSpec } from '../src/caller-port';
+import { SuspectExchange } from '../src/suspect-exchange';
 import type { TargetRegistration } from '../src/target-directory';
 import { TargetLimiter } from '../src/target-limiter';
 import type {
@@ -61,6 +65,21 @@
   return new TargetLimiter({ clock, shares, metrics: createMetrics(), logger });
 }
 
+/** Creates an exchange of suspects whose log is read by no process, so that no trial is granted. */
+export function createSuspectExchange(clock: Clock): SuspectExchange {
+  const log = new MemoryLog({ clock });
+  return new SuspectExchange({
+    incarnation: 'process-a.1' as IncarnationId,
+    clock,
+    metrics: createMetrics(),
+    logger,
+    log,
+    tail: new LogTail({ log, clock, stream: 'usage', random: new RandomSource(1) }),
+    suspects: new SuspectRequests(),
+    isRepeating: () => false,
+  });
+}
+
 export function version(number: number): WeightVersion {
   return number as WeightVersion;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -56,3 +56,12 @@
 
 export { TargetLimits } from './target-limits';
 export type { LimitedTarget, TargetLimitsOptions } from './target-limits';
+
+export { SuspectRequests } from './suspect-requests';
+export type {
+  KnownSuspect,
+  RunPermit,
+  SuspectChange,
+  SuspectFact,
+  TrialClaim,
+} from './suspect-requests';
