Count no broken connection of a target that goes on to answer others

A reset alone, as by a target that takes no further connections, counted like a crash until some target answered the request, so that requests could have to wait for trials although nothing had crashed. A response to a request that was sent after the break, by the same incarnation within the time that a start takes, withdraws it in all processes. Unit test of the decision.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -19,7 +19,11 @@
 import type { GatewayAnswer } from './caller-port';
 import { ScreenedRequest } from './screened-request';
 import type { SuspectExchange } from './suspect-exchange';
-import type { TargetDirectory, TargetRegistration } from './target-directory';
+import {
+  type TargetDirectory,
+  type TargetRegistration,
+  getIncarnationKey,
+} from './target-directory';
 import type { RouteBackend, ServingRoute } from './serving-config';
 import type { TargetChooser } from './target-chooser';
 import type { TargetResponseHead, TargetClient } from './target-port';
@@ -420,9 +424,15 @@
 
   /** Reports how an attempt ended, and logs that its connection did before its response. */
   #recordEnd(attempt: Attempt, end: AttemptEnd): void {
+    const { suspects, clock } = this.#options;
+    const { target } = attempt.call;
     this.#screened?.recordEnd(attempt, end);
+    if (end === 'answered') {
+      const sentAt = (clock.mono() - attempt.ageMs) as MonoTime;
+      suspects.recordAnswer(getIncarnationKey(target), sentAt);
+    }
     if (end !== 'broken') return;
-    const { id, startedAt, service } = attempt.call.target;
+    const { id, startedAt, service } = target;
     this.#options.metrics.count('attempt.broken');
     this.#options.logger.info('A connection ended while a target ran a request.', {
       id: this.#req.id,
--- a/packages/gateway/src/screened-request.ts
+++ b/packages/gateway/src/screened-request.ts
@@ -5,7 +5,7 @@
 import type { Attempt, AttemptEnd } from './attempt';
 import { type RequestContent, createContentDigest, getContentShape } from './request-content';
 import type { SuspectExchange } from './suspect-exchange';
-import { getIncarnation } from './target-directory';
+import { getIncarnationKey } from './target-directory';
 
 // A target that fails without having run the request responds with such a status as well.
 const MIN_ERROR_STATUS = 500;
@@ -81,7 +81,7 @@
     this.#exchange.publish({
       type: 'broken',
       content: this.digest,
-      incarnation: `${target.id} ${getIncarnation(target)}`,
+      incarnation: getIncarnationKey(target),
       ...(trial !== undefined && { trial }),
     });
   }
--- a/packages/gateway/src/suspect-exchange.ts
+++ b/packages/gateway/src/suspect-exchange.ts
@@ -32,6 +32,9 @@
 const RETRY_INTERVAL_MS = 100;
 // Facts that the log doesn't take are kept up to this number; the oldest are lost first.
 const MAX_PENDING_FACTS = 1_024;
+// A target that has crashed takes longer to start again. An answer within this time comes from the
+// incarnation whose connection broke, even where the list of targets is out of date.
+const MIN_RESTART_MS = 1_000;
 // Old records may be dropped from the log, so the holder of the duty repeats what they say.
 const REPEAT_INTERVAL_MS = 10_000;
 const MAX_REPEATED = 128;
@@ -48,6 +51,7 @@
     trial: Id.optional(),
   }),
   z.object({ type: z.literal('answered'), content: Content, trial: Id.optional() }),
+  z.object({ type: z.literal('survived'), incarnation: z.string() }),
   z.object({ type: z.literal('trial-ended'), trial: Id }),
   z.object({
     type: z.literal('known'),
@@ -98,6 +102,9 @@
 
   #repeatedAt = -Infinity as MonoTime;
 
+  /** When the connections of incarnations broke that may have crashed. */
+  readonly #brokenAt = new Map<string, MonoTime>();
+
   /** This process's claims that it waits for, and whether they were granted. */
   readonly #claims = new Map<RecordId, boolean | undefined>();
 
@@ -130,6 +137,17 @@
     this.#write();
   }
 
+  /**
+   * Records that an incarnation of a target has answered a request. It has not crashed if the
+   * request was sent after a connection to it broke.
+   */
+  recordAnswer(incarnation: string, sentAt: MonoTime): void {
+    const brokenAt = this.#brokenAt.get(incarnation);
+    if (brokenAt === undefined || sentAt < brokenAt) return;
+    this.#brokenAt.delete(incarnation);
+    if (sentAt - brokenAt < MIN_RESTART_MS) this.publish({ type: 'survived', incarnation });
+  }
+
   /**
    * Claims to run a suspect alone.
    *
@@ -163,6 +181,9 @@
     const { clock, metrics, suspects, isRepeating } = this.#options;
     const now = clock.mono();
     metrics.gauge('suspect.requests', suspects.size);
+    [...this.#brokenAt]
+      .filter(([, brokenAt]) => now - brokenAt >= MIN_RESTART_MS)
+      .forEach(([incarnation]) => this.#brokenAt.delete(incarnation));
     if (now - this.#failedAt >= RETRY_INTERVAL_MS) this.#write();
     if (now - this.#repeatedAt < REPEAT_INTERVAL_MS || !isRepeating()) return;
     this.#repeatedAt = now;
@@ -218,12 +239,21 @@
   }
 
   #record(fact: SuspectFact, at: WallTime): void {
-    const { suspects, metrics, logger } = this.#options;
+    const { suspects, clock, metrics, logger } = this.#options;
+    if (fact.type === 'broken') this.#brokenAt.set(fact.incarnation, clock.mono());
     const change = suspects.record(fact, at);
+    if (fact.type === 'survived') {
+      metrics.count('suspect.target_survived');
+      logger.info('A target whose connection broke has not crashed.', {
+        incarnation: fact.incarnation,
+      });
+    }
+    if (change !== undefined || fact.type === 'survived') {
+      this.#shapes = suspects.listShapes(getDigestShape);
+    }
     if (!change) return;
-    this.#shapes = suspects.listShapes(getDigestShape);
     metrics.count(`suspect.${change}`);
-    const content = fact.type === 'known' ? fact.suspect.content : getContent(fact);
+    const content = getContent(fact);
     logger.info(CHANGE_MESSAGES[change], {
       content,
       breaks: content === undefined ? undefined : suspects.countBreaks(content),
@@ -238,6 +268,7 @@
   cleared: 'A suspected request was answered completely.',
 };
 
-function getContent(fact: Exclude<SuspectFact, { type: 'known' }>): ContentDigest | undefined {
-  return fact.type === 'trial-ended' ? undefined : fact.content;
+function getContent(fact: SuspectFact): ContentDigest | undefined {
+  if (fact.type === 'known') return fact.suspect.content;
+  return 'content' in fact ? fact.content : undefined;
 }
--- a/packages/gateway/src/target-directory.ts
+++ b/packages/gateway/src/target-directory.ts
@@ -206,6 +206,11 @@
   return startedAt ?? 0;
 }
 
+/** Identifies an incarnation of a target among those of all targets. */
+export function getIncarnationKey(target: TargetRegistration): string {
+  return `${target.id} ${getIncarnation(target)}`;
+}
+
 function isOlder(entry: TargetRegistration, known: TargetRegistration): boolean {
   const born = entry.startedAt ?? 0;
   const knownBorn = known.startedAt ?? 0;
--- a/packages/routing/src/suspect-requests.ts
+++ b/packages/routing/src/suspect-requests.ts
@@ -18,7 +18,9 @@
     }
   /** A target has answered the request completely. */
   | { readonly type: 'answered'; readonly content: ContentDigest; readonly trial?: RecordId }
-  /** A trial ended without either. */
+  /** A target has answered a request that was sent to it after a connection to it broke. */
+  | { readonly type: 'survived'; readonly incarnation: string }
+  /** A trial ended without a broken connection or an answer. */
   | { readonly type: 'trial-ended'; readonly trial: RecordId }
   /** What a process knew of a suspect, for those that can't read the earlier facts. */
   | { readonly type: 'known'; readonly suspect: KnownSuspect };
@@ -76,7 +78,8 @@
  *
  * A request is a suspect from the first broken connection on, and none any more once a target has
  * answered it: a request that crashes targets is never answered, while one that only runs beside it
- * is answered in between. After a second target it is run alone: one trial of each service at a
+ * is answered in between. A target that goes on to answer others has not crashed, so that the break
+ * of its connection doesn't count. After a second target it is run alone: one trial of each service at a
  * time, over all processes. After a third it is refused, but for one later trial.
  *
  * All processes apply the same facts and claims in the order of the log, with the times that their
@@ -131,6 +134,9 @@
       case 'answered':
         this.#endTrial(fact.trial);
         return this.#clear(fact.content, at);
+      case 'survived':
+        this.#removeBreaks(fact.incarnation);
+        return undefined;
       case 'trial-ended':
         this.#endTrial(fact.trial);
         return undefined;
@@ -205,6 +211,15 @@
     return before === 0 ? 'suspected' : undefined;
   }
 
+  /** Withdraws what was observed at an incarnation that has not crashed. */
+  #removeBreaks(incarnation: string): void {
+    this.#suspects.forEach(({ incarnations }, content) => {
+      if (incarnations.delete(incarnation) && incarnations.size === 0) {
+        this.#suspects.delete(content);
+      }
+    });
+  }
+
   #clear(content: ContentDigest, at: WallTime): SuspectChange | undefined {
     if (!this.#suspects.delete(content)) return undefined;
     this.#clearedAt.delete(content);
--- a/packages/routing/test/suspect-requests.test.ts
+++ b/packages/routing/test/suspect-requests.test.ts
@@ -71,6 +71,16 @@
     expect(suspects.size).toBe(0);
   });
 
+  it('is not suspected because of a target that has answered others since', () => {
+    ['t1 1', 't2 1', 't3 1'].forEach((incarnation) => breakAt(incarnation));
+    suspects.record({ type: 'survived', incarnation: 't2 1' }, now);
+    expect(suspects.countBreaks(A)).toBe(2);
+    expect(suspects.decide(A, now)).toBe('alone');
+    suspects.record({ type: 'survived', incarnation: 't1 1' }, now);
+    suspects.record({ type: 'survived', incarnation: 't3 1' }, now);
+    expect(suspects.has(A)).toBe(false);
+  });
+
   it('is forgotten an hour after its last crash', () => {
     ['t1 1', 't2 1', 't3 1'].forEach((incarnation) => breakAt(incarnation));
     pass(3_600_001);
