--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -11,6 +11,7 @@
 } from '@hibiscushill/base';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import { createContentDigest } from '../src/request-content';
 import { TargetDirectory } from '../src/target-directory';
 import {
   type ForwardRequest,
@@ -18,8 +19,9 @@
   RequestForwarder,
 } from '../src/request-forwarder';
 import type { ServingRoute } from '../src/serving-config';
+import type { SuspectExchange } from '../src/suspect-exchange';
 import { LowestLatencyChooser } from '../src/target-chooser';
-import type { TargetLimiter } from '../src/target-limiter';
+import type { SendKind, TargetLimiter } from '../src/target-limiter';
 import { TargetStats } from '../src/target-stats';
 import {
   ManualClient,
@@ -42,6 +44,7 @@
 let stats: TargetStats;
 let limiter: TargetLimiter;
 let directory: TargetDirectory;
+let suspects: SuspectExchange;
 let mayRun: boolean;
 let isStopped: boolean;
 
@@ -59,6 +62,7 @@
   stats = new TargetStats(clock);
   stats.setTargets(['t1' as TargetId, 't2' as TargetId]);
   limiter = createLimiter(clock);
+  suspects = createSuspectExchange(clock);
   forwarder = new RequestForwarder({
     clock,
     random,
@@ -68,7 +72,7 @@
     directory,
     stats,
     limiter,
-    suspects: createSuspectExchange(clock),
+    suspects,
     chooser: new LowestLatencyChooser({ stats, zone: 'zone-a' as ZoneId, random }),
     onRun: () => {
       runs += 1;
@@ -76,19 +80,25 @@
   });
 });
 
+const REQUEST = {
+  team: undefined,
+  method: 'POST',
+  path: '/a/1',
+  host: 'a.example',
+  body: Buffer.from('x'),
+};
+
 function forward(
   route: ServingRoute = createRoute(),
   signal = new AbortController().signal,
+  kind: SendKind = 'request',
 ): Promise<ForwardResult> {
   const req: ForwardRequest = {
+    ...REQUEST,
     id: ID,
     route,
-    team: undefined,
-    method: 'POST',
-    path: '/a/1',
-    host: 'a.example',
+    kind,
     headers: [],
-    body: Buffer.from('x'),
     endsAt: (clock.mono() + route.timeoutMs) as MonoTime,
     mayRun: () => mayRun,
     isStopped: () => isStopped,
@@ -341,3 +351,76 @@
     expect(await result).toMatchObject({ type: 'answered' });
   });
 });
+
+describe('a request while whose runs targets crash', () => {
+  const BREAK = { run: 'may-have-run', reason: 'reset' } as const;
+
+  const content = createContentDigest(REQUEST);
+
+  function recordCrashes(count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      suspects.publish({ type: 'broken', content, incarnation: `other-${index} 1` });
+    }
+  }
+
+  it('is a suspect from its first broken connection on', async () => {
+    const result = forward(createRoute({ maxRuns: 1 }));
+    expect(suspects.isSuspect(content)).toBe(false);
+    client.calls[0]?.fail(BREAK);
+    await result;
+    expect(suspects.isSuspect(content)).toBe(true);
+  });
+
+  it('is not hedged any more', async () => {
+    recordCrashes(1);
+    const before = client.calls.length;
+    const result = forward();
+    await advance(clock, 700);
+    expect(client.calls).toHaveLength(before + 1);
+    client.calls.at(-1)?.respond('whole');
+    expect(await result).toMatchObject({ type: 'answered' });
+  });
+
+  it('is refused at once, with a time to retry, when it can not be run alone', async () => {
+    recordCrashes(2);
+    const before = client.calls.length;
+    const result = forward();
+    await advance(clock, 1_000);
+    expect(await result).toMatchObject({
+      type: 'refused',
+      answer: { code: 'request_suspected', run: 'not-run' },
+    });
+    expect(client.calls).toHaveLength(before);
+  });
+
+  it('is refused for good after the third target', async () => {
+    recordCrashes(3);
+    expect(await forward()).toMatchObject({
+      type: 'refused',
+      answer: { code: 'request_crashes_targets', run: 'not-run', retryAfterMs: undefined },
+    });
+  });
+
+  it('is sent as before once a target has answered it', async () => {
+    recordCrashes(1);
+    const answered = forward();
+    client.calls.at(-1)?.respond('whole');
+    await answered;
+    expect(suspects.isSuspect(content)).toBe(false);
+  });
+
+  it('stays a suspect when the response is a failure of the target', async () => {
+    recordCrashes(1);
+    const failed = forward(createRoute({ maxRuns: 1 }));
+    client.calls.at(-1)?.respond('failure', { status: 500 });
+    await failed;
+    expect(suspects.isSuspect(content)).toBe(true);
+  });
+
+  it('does not make scoring calls suspects', async () => {
+    const result = forward(createRoute({ maxRuns: 1 }), new AbortController().signal, 'scoring');
+    client.calls[0]?.fail(BREAK);
+    await result;
+    expect(suspects.isSuspect(content)).toBe(false);
+  });
+});
