Take no answer of a restarted target for that of an earlier incarnation

A process that started later read old breaks as if they were new, so that an answer of a target that had started again under the same name and without a start time withdrew them for all processes. Only breaks that were recorded within the time of a start count. The test failed before.

--- a/packages/gateway/src/suspect-exchange.ts
+++ b/packages/gateway/src/suspect-exchange.ts
@@ -240,7 +240,9 @@
 
   #record(fact: SuspectFact, at: WallTime): void {
     const { suspects, clock, metrics, logger } = this.#options;
-    if (fact.type === 'broken') this.#brokenAt.set(fact.incarnation, clock.mono());
+    // A target that was broken earlier may have started again, and answers under the same name.
+    const isRecent = Math.abs(clock.wall() - at) < MIN_RESTART_MS;
+    if (fact.type === 'broken' && isRecent) this.#brokenAt.set(fact.incarnation, clock.mono());
     const change = suspects.record(fact, at);
     if (fact.type === 'survived') {
       metrics.count('suspect.target_survived');
--- a/packages/gateway/test/suspect-exchange.test.ts
+++ b/packages/gateway/test/suspect-exchange.test.ts
@@ -157,6 +157,21 @@
     expect(processes[0]!.exchange.isSuspect(CONTENT)).toBe(true);
   });
 
+  it('does not take the answer of a target that has started again for that of an earlier one', async () => {
+    breakAt(processes[0]!, 't1 0');
+    await run(1_500);
+    processes.push(createProcess('p4'));
+    await run(100);
+    processes[3]!.exchange.recordAnswer('t1 0', clock.mono());
+    await run(100);
+    expect(processes.map(({ exchange }) => exchange.isSuspect(CONTENT))).toEqual([
+      true,
+      true,
+      true,
+      true,
+    ]);
+  });
+
   it('repeats what it knows for processes that can no longer read the records', async () => {
     processes.forEach((process, index) => breakAt(process, `t${index} 1`));
     await run(10_100);
