--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,11 +21,8 @@
   type SubmissionSpec,
 } from './caller-port';
 import type { ConfigTracker } from './config-tracker';
-import {
-  type ForwardResult,
-  type RequestForwarder,
-  createGatewayAnswer,
-} from './request-forwarder';
+import { createGatewayAnswer } from './gateway-answer';
+import type { ForwardResult, RequestForwarder } from './request-forwarder';
 import type { ServingRoute } from './serving-config';
 import type { ItemId } from './submission';
 import type { SubmissionService } from './submission-service';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -43,7 +43,7 @@
 export { GatewayNode } from './gateway-node';
 export type { GatewayNodeBounds, GatewayNodeOptions, StatementReceivers } from './gateway-node';
 
-export { createGatewayAnswer } from './request-forwarder';
+export { createGatewayAnswer } from './gateway-answer';
 
 export type {
   CallerLimits,
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -7,8 +7,6 @@
   type Millis,
   type MonoTime,
   type RandomSource,
-  RESULT_CODES,
-  type RunState,
   type ServiceId,
   type TargetId,
   type TeamId,
@@ -17,6 +15,8 @@
 
 import { Attempt, type AttemptEnd, type AttemptResult } from './attempt';
 import type { GatewayAnswer } from './caller-port';
+import { createGatewayAnswer } from './gateway-answer';
+import { findTurnInterval, reserveTurn } from './limited-turns';
 import { ScreenedRequest } from './screened-request';
 import type { SuspectExchange } from './suspect-exchange';
 import {
@@ -50,7 +50,6 @@
 const MIN_RUN_MS = 50;
 // A target may name another limit meanwhile.
 const MAX_TURN_RETRY_MS = 2_000;
-const MS_PER_SECOND = 1_000;
 
 /** An authorized request to forward. */
 export interface ForwardRequest {
@@ -136,22 +135,6 @@
   }
 }
 
-/**
- * Creates a response of the gateway itself.
- *
- * @param code - the result code
- * @param detail - what happened, for the log and the response body
- * @param options - whether the request may have run (`not-run` by default), and when to retry
- */
-export function createGatewayAnswer(
-  code: CodeName,
-  detail: string,
-  options: { readonly run?: RunState; readonly retryAfterMs?: Millis } = {},
-): GatewayAnswer {
-  const { run = 'not-run', retryAfterMs } = options;
-  return { code, status: RESULT_CODES[code].status, run, detail, retryAfterMs };
-}
-
 /** What happens next to a forwarded request. */
 type Step =
   | { readonly type: 'settled'; readonly attempt: Attempt; readonly result: AttemptResult }
@@ -344,7 +327,10 @@
    * false at once if there is no turn in time.
    */
   async #startAfterWait(): Promise<boolean> {
-    const turn = this.#mayStartAttempt() ? this.#reserveTurn() : undefined;
+    const maxWaitMs = this.#remainingMs() - MIN_RUN_MS;
+    const turn = this.#mayStartAttempt()
+      ? reserveTurn(this.#options.limiter, this.#listUntried(), maxWaitMs)
+      : undefined;
     if (!turn) return false;
     const { clock, directory, limiter, metrics } = this.#options;
     const { target, waitMs } = turn;
@@ -362,18 +348,6 @@
     return true;
   }
 
-  /** Reserves the next turn of the request at any target that it was not sent to. */
-  #reserveTurn(): { readonly target: TargetRegistration; readonly waitMs: Millis } | undefined {
-    const { limiter } = this.#options;
-    const maxWaitMs = this.#remainingMs() - MIN_RUN_MS;
-    const [next] = this.#listUntried()
-      .map((target) => ({ target, waitMs: limiter.findWait(target, maxWaitMs) ?? Infinity }))
-      .filter(({ waitMs }) => waitMs <= maxWaitMs)
-      .sort((a, b) => a.waitMs - b.waitMs);
-    const waitMs = next && limiter.reserve(next.target, maxWaitMs);
-    return next && waitMs !== undefined ? { target: next.target, waitMs } : undefined;
-  }
-
   #mayStartAttempt(): boolean {
     const { route, signal, isStopped, mayRun } = this.#req;
     if (this.#possibleRuns >= (this.#isRepeatable ? route.maxRuns : 1)) return false;
@@ -468,25 +442,16 @@
     if (this.#req.isStopped?.()) return { type: 'cancelled' };
     if (!this.#req.mayRun()) return this.#refuse('config_stale', OTHER_PROCESS_RETRY_MS);
     if (this.#deniedPermit) return this.#refuseSuspect(this.#deniedPermit);
-    const turnMs = this.#findTurnInterval();
-    if (turnMs !== undefined) return this.#refuse('targets_limited', turnMs);
+    const { directory, limiter } = this.#options;
+    const turnMs = findTurnInterval(limiter, directory.listUsable(this.#service));
+    if (turnMs !== undefined) {
+      const waitMs = Math.min(MAX_TURN_RETRY_MS, Math.max(OTHER_PROCESS_RETRY_MS, turnMs));
+      return this.#refuse('targets_limited', waitMs);
+    }
     const code = this.#areAllTargetsLeaving() ? 'targets_leaving' : 'no_target';
     return this.#refuse(code, NO_TARGET_RETRY_MS);
   }
 
-  /**
-   * Finds the average time between two turns of any process at the service's targets together;
-   * undefined unless all of them limit their requests.
-   */
-  #findTurnInterval(): Millis | undefined {
-    const { directory, limiter } = this.#options;
-    const limits = directory.listUsable(this.#service).map((target) => limiter.limitOf(target));
-    if (limits.length === 0 || limits.includes(undefined)) return undefined;
-    const perSecond = limits.reduce<number>((sum, limit) => sum + (limit ?? 0), 0);
-    const intervalMs = MS_PER_SECOND / perSecond;
-    return Math.min(MAX_TURN_RETRY_MS, Math.max(OTHER_PROCESS_RETRY_MS, intervalMs));
-  }
-
   #areAllTargetsLeaving(): boolean {
     const targets = this.#options.directory.listAll(this.#service);
     return targets.length > 0 && targets.every((one) => this.#options.directory.isLeaving(one));
--- a/packages/gateway/src/submission-service.ts
+++ b/packages/gateway/src/submission-service.ts
@@ -22,7 +22,7 @@
   SubmissionSpec,
 } from './caller-port';
 import type { ConfigTracker } from './config-tracker';
-import { createGatewayAnswer } from './request-forwarder';
+import { createGatewayAnswer } from './gateway-answer';
 import type { ServingRoute } from './serving-config';
 import type { ItemLoader } from './item-loader';
 import type {
