Name the content in the lines of refusals, and explain requests by it

A refusal of a suspect held its content in the text of its detail alone, and hibiscusctl explain found lines by ids only, so that a caller's refusal could not be followed to the crashes at other processes. Test of both directions.

--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -32,9 +32,9 @@
 ];
 
 /**
- * Explains what became of a request, a submission or an item.
+ * Explains what became of a request, a submission or an item, or of all requests of one content.
  *
- * @param id - its id
+ * @param id - its id, or the content
  * @param path - the saved logs: a file, or a directory of files
  * @returns the lines about it, lines that may explain them, and a conclusion
  */
@@ -56,7 +56,13 @@
     ({ time }) => time >= first.time - BEFORE_MS && time <= last.time + AFTER_MS,
   );
   const processes = listProcesses(ownLines);
-  const around = linesInTime.filter((line) => isRelated(line, processes));
+  const contents = ownLines
+    .map(({ fields }) => fields.content)
+    .filter((content) => content !== undefined);
+  const around = [
+    ...linesInTime.filter((line) => isRelated(line, processes)),
+    ...lines.filter((line) => !ownLines.includes(line) && contents.includes(line.fields.content)),
+  ];
   const missing = describeGaps(linesInTime, processes);
   const conclusion = conclude(ownLines);
   const shown = [...ownLines, ...around].sort((a, b) => a.time - b.time);
@@ -68,8 +74,9 @@
 }
 
 function isAbout({ fields }: SavedLine, id: string): boolean {
-  // The line of a scoring call names the item that it scores beside the call.
-  return [fields.id, fields.item]
+  // The line of a scoring call names the item that it scores beside the call. A content is what all
+  // requests of a caller that sends the same one again have in common.
+  return [fields.id, fields.item, fields.content]
     .filter((named) => typeof named === 'string')
     .some((named) => named === id || named.split('/').includes(id));
 }
--- a/packages/ctl/test/explain-request.test.ts
+++ b/packages/ctl/test/explain-request.test.ts
@@ -64,6 +64,29 @@
     expect(await run('r1')).toMatchSnapshot();
   });
 
+  it('shows what is known of the content of a refused request, from all processes', async () => {
+    await save('n1.log', [
+      createLine(60_000, 0, '[gateway.request] A request was refused.', {
+        id: 'r9',
+        code: 'request_crashes_targets',
+        run: 'not-run',
+        content: '4.0.abc',
+      }),
+    ]);
+    const broken = '[gateway.request] A connection ended while a target ran a request.';
+    const counts = '[gateway.suspects] A request counts as one that crashes its targets.';
+    await save('n2.log', [
+      createLine(1_000, 0, broken, { id: 'r1', content: '4.0.abc', target: 't1' }),
+      createLine(1_100, 1, broken, { id: 'r2', content: '4.0.other', target: 't1' }),
+      createLine(2_000, 2, counts, { content: '4.0.abc', breaks: 3 }),
+    ]);
+    const { out } = await run('r9');
+    expect(out).toContain('id=r1');
+    expect(out).toContain('breaks=3');
+    expect(out).not.toContain('id=r2');
+    expect((await run('4.0.abc')).out).toContain('id=r9');
+  });
+
   it('shows when the log was lost, and when it was regained', async () => {
     await save('n1.log', [
       createLine(1_000, 0, '[log.keyed.keyed.op] Lost contact with the log.'),
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -1,6 +1,7 @@
 /** The port through which the HTTP server passes callers' requests to the gateway. */
 import type {
   CodeName,
+  ContentDigest,
   Millis,
   MonoTime,
   RequestId,
@@ -42,6 +43,8 @@
   readonly detail: string;
   /** After what time the caller should retry; undefined if it should not. */
   readonly retryAfterMs: Millis | undefined;
+  /** What the request consists of, for the log; stated where it may be what crashes targets. */
+  readonly content?: ContentDigest | undefined;
 }
 
 /** The response to one caller. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -287,7 +287,7 @@
   /** Counts and logs a refusal. */
   #recordRefusal(
     req: CallerRequest,
-    { code, status, run, detail, retryAfterMs }: GatewayAnswer,
+    { code, status, run, detail, retryAfterMs, content }: GatewayAnswer,
   ): void {
     const { metrics, logger, clock, config } = this.#options;
     metrics.countRefusal(code);
@@ -297,6 +297,7 @@
       status,
       run,
       detail,
+      content,
       retryAfterMs,
       tookMs: Math.round(clock.mono() - req.receivedAt),
       configVersion: config.current?.version,
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -44,6 +44,8 @@
 // A retry is likely to reach another process, which may be able to serve it at once.
 const OTHER_PROCESS_RETRY_MS = 40;
 
+const BROKEN_RUNS = 'the connections of targets broke while they ran the request';
+
 // Scoring calls leave these of a target's slots to callers' requests.
 const SLOTS_FOR_CALLERS = 1;
 // A request that gets its turn at a limited target with less time left isn't likely to be answered.
@@ -467,10 +469,11 @@
 
   /** Refuses a request that may be what crashes targets: for good, or until it can run alone. */
   #refuseSuspect(permit: RunPermit): ForwardResult {
-    this.#lastReason = `the connections of targets broke while they ran content ${this.#screened?.digest}`;
-    if (permit !== 'never') return this.#refuse('request_suspected', TRIAL_RETRY_MS);
-    const answer = createGatewayAnswer('request_crashes_targets', this.#lastReason);
-    return { type: 'refused', answer };
+    const isFinal = permit === 'never';
+    const code = isFinal ? 'request_crashes_targets' : 'request_suspected';
+    const retryAfterMs = jitterRetryAfter(TRIAL_RETRY_MS, this.#options.random);
+    const answer = createGatewayAnswer(code, BROKEN_RUNS, isFinal ? {} : { retryAfterMs });
+    return { type: 'refused', answer: { ...answer, content: this.#screened?.digest } };
   }
 }
 
--- a/packages/routing/src/suspect-requests.ts
+++ b/packages/routing/src/suspect-requests.ts
@@ -57,9 +57,9 @@
   readonly until: WallTime;
 }
 
-/** The incarnations that a request breaks before it is run alone. */
+// The incarnations that a request may break before it is run alone.
 const MAX_FREE_BREAKS = 2;
-/** The incarnations that a request breaks before it counts as one that crashes targets. */
+// The incarnations after which it counts as a request that crashes targets.
 const MAX_BREAKS = 3;
 // A last trial frees a request that only ran beside others that crash targets.
 const MAX_RETRIALS = 1;
@@ -73,8 +73,8 @@
 
 /**
  * Tells requests that crash the targets that run them from requests that only ran beside them.
- * Answers a few callers, or one, that send such a request again and again to all processes, beside
- * many other requests of which some run at each target that crashes.
+ * Meant for callers that send such a request again and again to all processes, beside many other
+ * requests of which some run at each target that crashes.
  *
  * A request is a suspect from the first broken connection on, and none any more once a target has
  * answered it: a request that crashes targets is never answered, while one that only runs beside it
