--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -56,7 +56,7 @@
     ({ time }) => time >= first.time - BEFORE_MS && time <= last.time + AFTER_MS,
   );
   const processes = listProcesses(ownLines);
-  const contents = ownLines
+  const contents: unknown[] = ownLines
     .map(({ fields }) => fields.content)
     .filter((content) => content !== undefined);
   const around = [
