Log the software version of targets, of items' runs and of streams

The registrations name it, and it was not read, so that no log line could tell a stream that goes on at another version from one that doesn't. It goes through the reader into the directory now, also its absence; no decision uses it.

--- a/packages/base/src/ids.ts
+++ b/packages/base/src/ids.ts
@@ -57,6 +57,9 @@
 /** A version of a trainer's weights; rises with each publication. */
 export type WeightVersion = Brand<number, 'WeightVersion'>;
 
+/** A version of the software that a target runs, as the target names it. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+
 /** The log offset of a duty holder's claim; rises with each holder and fences off earlier ones. */
 export type FencingNumber = Brand<number, 'FencingNumber'>;
 
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -19,6 +19,7 @@
   RequestId,
   SampleId,
   ServiceId,
+  SoftwareVersion,
   StepId,
   TargetId,
   TeamId,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,6 +183,10 @@
       id: req.id,
       status: result.head.status,
       target: result.type === 'answered' ? result.target : result.attempt.call.target.id,
+      ...(result.type === 'streaming' && {
+        software: result.attempt.call.target.software,
+        resumeAfter: req.resumeAfter,
+      }),
       tookMs: Math.round(tookMs),
       configVersion: this.#options.config.current?.version,
     });
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -216,6 +216,7 @@
       events: this.#events,
       expectedTokens: this.task.spec.expectedTokens,
       version: this.#version,
+      software: this.engine.software,
       tookMs: Math.round(clock.mono() - this.#startedAt),
     });
     onEnd(this, outcome);
--- a/packages/gateway/src/target-directory.ts
+++ b/packages/gateway/src/target-directory.ts
@@ -7,6 +7,7 @@
   type MonoTime,
   type RequestId,
   type ServiceId,
+  type SoftwareVersion,
   type TargetId,
   type WallTime,
   type WeightVersion,
@@ -28,6 +29,8 @@
   readonly isDraining: boolean;
   /** For how much longer the target is slow after its start. */
   readonly coldLeftMs: Millis;
+  /** The version of its software; undefined if the target doesn't state it. */
+  readonly software: SoftwareVersion | undefined;
   /** The weight version that it serves of each model. */
   readonly versions: ReadonlyMap<ModelId, WeightVersion>;
   /** When this incarnation started; undefined if the target doesn't state it. */
@@ -141,11 +144,12 @@
         startedAt: entry.startedAt,
       });
     }
-    if (!known || known.isDraining !== entry.isDraining || known.startedAt !== entry.startedAt) {
+    if (!known || isChanged(known, entry)) {
       this.#logger.info('A target registered.', {
         target: entry.id,
         service: entry.service,
         zone: entry.zone,
+        software: entry.software,
         isDraining: entry.isDraining,
       });
     }
@@ -211,6 +215,15 @@
   return `${target.id} ${getIncarnation(target)}`;
 }
 
+/** Whether a registration tells more than that its target is alive. */
+function isChanged(known: TargetRegistration, entry: TargetRegistration): boolean {
+  return (
+    known.isDraining !== entry.isDraining ||
+    known.startedAt !== entry.startedAt ||
+    known.software !== entry.software
+  );
+}
+
 function isOlder(entry: TargetRegistration, known: TargetRegistration): boolean {
   const born = entry.startedAt ?? 0;
   const knownBorn = known.startedAt ?? 0;
