Let a stream go on only at the software version that began it

Cause: no process knew which version began a stream; the registration's field was not read, so a continuation went to the least loaded target of any version.

Change: each process declares on a keyed log the versions at which it begins streams of a route, before the first of them begins. While one version is declared, that is where every stream began, and nothing else is written. From the second one on, each process records its streams with their versions, also those that it began before. A continuation goes to the version that the record names, or that the only declaration names, read after the request came; a process that can't tell refuses (stream_unknown), and so does one without a target of that version (stream_version_gone, for good).

--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -121,6 +121,18 @@
     'The connections of targets broke while they ran the request; it waits until it can run alone.',
     'Wait, then retry.',
   ),
+  stream_unknown: defineCode(
+    3013,
+    503,
+    'It is not known which software version began the stream.',
+    'Retry if a time is given, else begin the stream again.',
+  ),
+  stream_version_gone: defineCode(
+    3014,
+    503,
+    'No target has the software version that began the stream.',
+    'Begin the stream again.',
+  ),
   outcome_unknown: defineCode(
     4001,
     502,
--- a/packages/base/src/ids.ts
+++ b/packages/base/src/ids.ts
@@ -57,6 +57,9 @@
 /** A version of a trainer's weights; rises with each publication. */
 export type WeightVersion = Brand<number, 'WeightVersion'>;
 
+/** Identifies a stream over the attempts of its caller, by the first attempt and its team. */
+export type StreamKey = Brand<string, 'StreamKey'>;
+
 /** A version of the software that a target runs, as the target names it. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -20,6 +20,7 @@
   SampleId,
   ServiceId,
   SoftwareVersion,
+  StreamKey,
   StepId,
   TargetId,
   TeamId,
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -33,6 +33,11 @@
    * The number of the last event that the caller of a resumed stream has; undefined for a new one.
    */
   readonly resumeAfter: number | undefined;
+  /**
+   * The request that brought the first event of the resumed stream; undefined if the caller names
+   * none.
+   */
+  readonly resumes: RequestId | undefined;
 }
 
 /** A response of the gateway itself, rather than of a target. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -25,6 +25,7 @@
 import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
 
 import { ConfigTracker } from './config-tracker';
+import { DeclaredOrigins } from './declared-origins';
 import { ControlDuty } from './control-duty';
 import type { EngineControl, UsageSink } from './control-port';
 import { TargetDirectory } from './target-directory';
@@ -32,7 +33,9 @@
 import { ControlTasks } from './control-tasks';
 import { ItemLoader } from './item-loader';
 import { RequestForwarder } from './request-forwarder';
-import type { CallerLimits } from './serving-config';
+import { hasResumableStreams } from './resumable-stream';
+import type { CallerLimits, ServingRoute } from './serving-config';
+import { StreamExchange } from './stream-exchange';
 import { SubmissionRegistry } from './submission';
 import { SubmissionService } from './submission-service';
 import { LowestLatencyChooser } from './target-chooser';
@@ -79,6 +82,8 @@
   readonly log: Log;
   readonly configLog: KeyedLog;
   readonly targetLog: KeyedLog;
+  /** The log of the origins at which streams may begin. */
+  readonly originLog: KeyedLog;
   /** Creates the reader that decodes configurations into the tracker. */
   readonly readConfig: (tracker: ConfigTracker) => KeyedRecordHandler;
   /** Creates the reader that decodes targets' registrations into the directory. */
@@ -144,6 +149,8 @@
 
   readonly #suspectExchange: SuspectExchange;
 
+  readonly #streamExchange: StreamExchange;
+
   readonly #submissions = new SubmissionRegistry();
 
   readonly #configTail: KeyedTail;
@@ -158,6 +165,9 @@
 
   readonly #controlTasks: ControlTasks;
 
+  /** The routes whose streams can be resumed. */
+  #streamRoutes: readonly ServingRoute[] = [];
+
   #lastOutageAt = -Infinity as MonoTime;
 
   #timers: NodeJS.Timeout[] = [];
@@ -216,6 +226,7 @@
       suspects: new SuspectRequests(),
       isRepeating: () => this.#duty.isHeld,
     });
+    this.#streamExchange = this.#createStreamExchange(createPartLogger('gateway.streams'));
     const receivers = { directory: this.#directory, limiter: this.#limiter };
     const client = options.createClient(receivers);
     const forwarder = this.#createForwarder(createPartLogger, client);
@@ -268,6 +279,9 @@
   start(): void {
     this.#config.setFreshnessSource(this.#configTail);
     this.#directory.setOutageCheck(() => this.#isTargetListOutage());
+    this.#config.onChanged(() => {
+      this.#streamRoutes = this.#config.current?.routes.filter(hasResumableStreams) ?? [];
+    });
     this.#directory.onChanged((target) => this.#onTargetChanged(target));
     this.#configTail.start();
     this.#targetTail.start();
@@ -314,6 +328,19 @@
     return new KeyedTail({ log, clock, random, metrics }, reader);
   }
 
+  #createStreamExchange(logger: Logger): StreamExchange {
+    const { originLog } = this.#options;
+    const origins = new DeclaredOrigins({
+      ...this.#options,
+      logger,
+      log: originLog,
+      directory: this.#directory,
+      listRoutes: () => this.#streamRoutes,
+      isWithdrawing: () => this.#duty.isHeld,
+    });
+    return new StreamExchange({ ...this.#options, logger, tail: this.#dutyTail, origins });
+  }
+
   #createForwarder(
     createPartLogger: (prefix: string) => Logger,
     client: TargetClient,
@@ -327,6 +354,7 @@
       limiter: this.#limiter,
       stats: this.#targetStats,
       suspects: this.#suspectExchange,
+      streams: this.#streamExchange,
       chooser: new LowestLatencyChooser({ stats: this.#targetStats, zone, random }),
       onRun: (req, at) => {
         if (req.team !== undefined) this.#controlTasks.countRequest(req.team, at);
@@ -340,6 +368,7 @@
     }
     this.#limitExchange.run();
     this.#suspectExchange.run();
+    this.#streamExchange.run(this.#streamRoutes);
     this.#controlTasks.runDueTasks();
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,6 +157,7 @@
       body: req.body,
       endsAt: computeEnd(req, route.value),
       ...(req.resumeAfter !== undefined && { resumeAfter: req.resumeAfter }),
+      ...(req.resumes !== undefined && { resumes: req.resumes }),
       mayRun: () => this.#isStillAuthorized(route.value, access.value),
       signal: disconnected.signal,
     });
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -7,6 +7,7 @@
   type Millis,
   type MonoTime,
   type RandomSource,
+  type RequestId,
   type ServiceId,
   type TargetId,
   type TeamId,
@@ -17,7 +18,9 @@
 import type { GatewayAnswer } from './caller-port';
 import { createGatewayAnswer } from './gateway-answer';
 import { findTurnInterval, reserveTurn } from './limited-turns';
+import { ResumableStream, type StreamRefusal, hasResumableStreams } from './resumable-stream';
 import { ScreenedRequest } from './screened-request';
+import type { StreamExchange } from './stream-exchange';
 import type { SuspectExchange } from './suspect-exchange';
 import {
   type TargetDirectory,
@@ -55,7 +58,7 @@
 
 /** An authorized request to forward. */
 export interface ForwardRequest {
-  readonly id: TargetCallId;
+  readonly id: RequestId;
   readonly route: ServingRoute;
   readonly team: TeamId | undefined;
   readonly method: string;
@@ -65,6 +68,8 @@
   readonly body: Uint8Array;
   readonly endsAt: MonoTime;
   readonly resumeAfter?: number;
+  /** The request that brought the first event of the resumed stream. */
+  readonly resumes?: RequestId;
   /** What it is sent for; a caller's request by default. */
   readonly kind?: SendKind;
   /** How long the first target may take before a second one is tried; by default by the goal. */
@@ -79,8 +84,6 @@
   readonly onServerError?: () => void;
 }
 
-type TargetCallId = Attempt['call']['id'];
-
 /** How a forwarded request ended, or that its response is a stream that has begun. */
 export type ForwardResult =
   | {
@@ -105,6 +108,7 @@
   readonly limiter: TargetLimiter;
   readonly chooser: TargetChooser;
   readonly suspects: SuspectExchange;
+  readonly streams: StreamExchange;
   /** Called for each attempt that a target may have run. */
   readonly onRun: (req: ForwardRequest, at: MonoTime) => void;
 }
@@ -148,13 +152,16 @@
 
   readonly #req: ForwardRequest;
 
-  readonly #service: ServiceId;
+  #service: ServiceId;
 
   readonly #isRepeatable: boolean;
 
   /** Undefined for a scoring call: items and their calls are not suspected of crashing targets. */
   readonly #screened: ScreenedRequest | undefined;
 
+  /** Undefined for a request that isn't for a stream that can be resumed. */
+  readonly #stream: ResumableStream | undefined;
+
   readonly #active = new Set<Attempt>();
 
   readonly #triedTargets = new Set<TargetId>();
@@ -180,9 +187,17 @@
     const { kind, isResumable } = req.route;
     this.#isRepeatable = kind === 'idempotent' || (kind === 'stream' && isResumable);
     if (this.#kind === 'request') this.#screened = new ScreenedRequest(options.suspects, req);
+    if (hasResumableStreams(req.route)) {
+      this.#stream = new ResumableStream(options.streams, options.directory, req);
+    }
   }
 
   async run(): Promise<ForwardResult> {
+    if (this.#stream) {
+      const refusal = await this.#stream.prepare(this.#remainingMs());
+      if (refusal) return this.#refuseStream(refusal);
+      this.#service = this.#stream.origin?.service ?? this.#service;
+    }
     this.#options.limiter.recordDemand(this.#service);
     try {
       for (;;) {
@@ -292,6 +307,7 @@
   #handleStream(attempt: Attempt, head: TargetResponseHead): ForwardResult | undefined {
     const isRefusal = head.hasNotRun;
     if (!isRefusal && (head.status < 500 || !this.#isRepeatable)) {
+      if (head.isEventStream) this.#stream?.recordBegun(attempt.call.target);
       return { type: 'streaming', attempt, head };
     }
     attempt.cancel();
@@ -361,7 +377,8 @@
   #listUntried(): TargetRegistration[] {
     const targets = this.#options.directory
       .listUsable(this.#service)
-      .filter((target) => !this.#triedTargets.has(target.id));
+      .filter((target) => !this.#triedTargets.has(target.id))
+      .filter((target) => this.#stream?.mayRunAt(target) ?? true);
     return this.#kind === 'scoring' ? listWithRoom(this.#options, targets) : targets;
   }
 
@@ -467,6 +484,13 @@
     };
   }
 
+  #refuseStream({ code, detail, retryMs }: StreamRefusal): ForwardResult {
+    if (this.#req.signal.aborted) return { type: 'cancelled' };
+    this.#lastReason = detail;
+    if (retryMs !== undefined) return this.#refuse(code, retryMs);
+    return { type: 'refused', answer: createGatewayAnswer(code, detail) };
+  }
+
   /** Refuses a request that may be what crashes targets: for good, or until it can run alone. */
   #refuseSuspect(permit: RunPermit): ForwardResult {
     const isFinal = permit === 'never';
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -27,6 +27,7 @@
   ManualClient,
   createLimiter,
   createMetrics,
+  createStreamExchange,
   createSuspectExchange,
   createRoute,
   createTarget,
@@ -73,6 +74,7 @@
     stats,
     limiter,
     suspects,
+    streams: createStreamExchange(clock, directory),
     chooser: new LowestLatencyChooser({ stats, zone: 'zone-a' as ZoneId, random }),
     onRun: () => {
       runs += 1;
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -29,6 +29,7 @@
   createHead,
   createLimiter,
   createMetrics,
+  createStreamExchange,
   createSuspectExchange,
   createRoute,
   createTarget,
@@ -117,6 +118,7 @@
     stats,
     limiter: createLimiter(clock),
     suspects: createSuspectExchange(clock),
+    streams: createStreamExchange(clock, directory),
     chooser,
     onRun: () => undefined,
   });
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -43,6 +43,7 @@
   createItem,
   createLimiter,
   createMetrics,
+  createStreamExchange,
   createSuspectExchange,
   createRoute,
   createTarget,
@@ -101,6 +102,7 @@
     directory,
     stats,
     suspects: createSuspectExchange(clock),
+    streams: createStreamExchange(clock, directory),
     chooser,
     onRun: () => undefined,
   });
--- a/packages/gateway/test/submission-service.test.ts
+++ b/packages/gateway/test/submission-service.test.ts
@@ -98,6 +98,7 @@
     deadlineAt: undefined,
     receivedAt: 0 as MonoTime,
     resumeAfter: undefined,
+    resumes: undefined,
   };
   const spec = {
     id: ID,
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -1,10 +1,12 @@
 /** Factories and fakes for the gateway's tests. */
 import {
   type Clock,
+  type Failure,
   type IncarnationId,
   type InstanceId,
   type ManualClock,
   Metrics,
+  type Offset,
   RandomSource,
   type RequestId,
   type ServiceId,
@@ -14,14 +16,25 @@
   type WallTime,
   type WeightVersion,
   type ZoneId,
+  createFailure,
   createLogger,
 } from '@hibiscushill/base';
-import { LogTail, MemoryLog } from '@hibiscushill/log';
+import {
+  KeyedLog,
+  type KeyedPage,
+  type KeyedRecord,
+  type KeyedSnapshot,
+  LogTail,
+  MemoryLog,
+} from '@hibiscushill/log';
+import { type ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
 
 import type { ItemSpec } from '../src/caller-port';
+import { DeclaredOrigins } from '../src/declared-origins';
+import { StreamExchange } from '../src/stream-exchange';
 import { SuspectExchange } from '../src/suspect-exchange';
-import type { TargetRegistration } from '../src/target-directory';
+import type { TargetDirectory, TargetRegistration } from '../src/target-directory';
 import { TargetLimiter } from '../src/target-limiter';
 import type {
   ModelId,
@@ -81,6 +94,56 @@
   });
 }
 
+/** A keyed log in memory, which can be made to fail. */
+export class MemoryKeyedLog extends KeyedLog {
+  override readonly name = 'keyed.test';
+
+  isDown = false;
+
+  readonly #records = new Map<string, KeyedRecord>();
+
+  override readSnapshot(): ResultAsync<KeyedSnapshot, Failure> {
+    return this.#run(() => ({ records: [...this.#records.values()], end: 0 as Offset }));
+  }
+
+  override read(from: Offset): ResultAsync<KeyedPage, Failure> {
+    return this.#run(() => ({ records: [], next: from, end: from }));
+  }
+
+  override append(record: KeyedRecord): ResultAsync<void, Failure> {
+    return this.#run(() => {
+      if (record.value === undefined) this.#records.delete(record.key);
+      else this.#records.set(record.key, record);
+    });
+  }
+
+  #run<T>(execute: () => T): ResultAsync<T, Failure> {
+    if (this.isDown) return errAsync(createFailure('platform_down', { detail: 'is down' }));
+    return okAsync(execute());
+  }
+}
+
+/** Creates the exchange of streams of the only process, for some routes. */
+export function createStreamExchange(
+  clock: Clock,
+  directory: TargetDirectory,
+  routes: readonly ServingRoute[] = [],
+): StreamExchange {
+  const log = new MemoryLog({ clock });
+  const metrics = createMetrics();
+  const origins = new DeclaredOrigins({
+    clock,
+    metrics,
+    logger,
+    log: new MemoryKeyedLog(),
+    directory,
+    listRoutes: () => routes,
+    isWithdrawing: () => false,
+  });
+  const tail = new LogTail({ log, clock, stream: 'usage', random: new RandomSource(1) });
+  return new StreamExchange({ clock, metrics, logger, log, tail, origins });
+}
+
 export function version(number: number): WeightVersion {
   return number as WeightVersion;
 }
--- a/packages/log/src/keyed-log.ts
+++ b/packages/log/src/keyed-log.ts
@@ -51,4 +51,11 @@
    * @returns the page; fails with `offset_trimmed` when records from that offset on were dropped
    */
   abstract read(from: Offset, options: KeyedReadOptions): ResultAsync<KeyedPage, Failure>;
+
+  /**
+   * Appends a record; not every keyed log may be written to.
+   *
+   * @param record - the newest record of its key from then on
+   */
+  abstract append(record: KeyedRecord): ResultAsync<void, Failure>;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,7 @@
 /** Target choice, admission control, queues, retries, hedging and outlier ejection. */
+export { BegunStreams, decideContinuation, isSameOrigin } from './begun-streams';
+export type { StreamOrigin } from './begun-streams';
+
 export { estimateAttempts, estimateLoad, isAvailable } from './target-view';
 export type { ReportedLoad, TargetView } from './target-view';
 
