Keep the output of an item at the software version that began it

Change: an output has the software version that began it, also where it is saved on the log and taken over. The placement goes on with it only there. It waits no longer than beginning again would take to get as far (2 s at the most), then it begins again elsewhere; at once when no engine has the version. Runs are moved for a change of weights, or off slow engines, only to slots of their own software version. With one software version nothing changes.

Outputs that an earlier build saved name no version and begin again.

--- a/packages/gateway/bench/placing.ts
+++ b/packages/gateway/bench/placing.ts
@@ -26,7 +26,11 @@
 const MODEL = 'model-a' as ModelId;
 
 interface Placing {
-  place(items: readonly WaitingItem[], engines: readonly EngineView[]): unknown[];
+  place(
+    items: readonly WaitingItem[],
+    engines: readonly EngineView[],
+    getWaitMs: () => Millis,
+  ): unknown[];
 }
 
 /** Engines of two versions, half of whose slots are free. */
@@ -37,6 +41,7 @@
     slots: SLOTS,
     startsLeft: Infinity,
     version: (1 + (index % 2)) as WeightVersion,
+    software: undefined,
     isLoading: false,
     msPerEvent: 30 + (index % 5),
     isSpeedFresh: true,
@@ -48,6 +53,7 @@
     group: `g${Math.floor(index / ITEMS_PER_GROUP)}`,
     leastVersion: (1 + (index % 2)) as WeightVersion,
     requiredVersion: undefined,
+    begun: undefined,
     avoidedEngines: new Set<TargetId>(),
   }));
 }
@@ -65,7 +71,7 @@
   const items = createItems(engines * ITEMS_PER_ENGINE);
   let placed = 0;
   const ms = measure(() => {
-    placed = placing.place(items, views).length;
+    placed = placing.place(items, views, () => 0).length;
   });
   return { ms, placed };
 }
--- a/packages/gateway/src/engine-index.ts
+++ b/packages/gateway/src/engine-index.ts
@@ -1,5 +1,5 @@
 /** Finds the least loaded of many engines for one item after another. */
-import type { TargetId, WeightVersion } from '@hibiscushill/base';
+import type { SoftwareVersion, TargetId, WeightVersion } from '@hibiscushill/base';
 import TinyQueue from 'tinyqueue';
 
 import {
@@ -8,6 +8,7 @@
   canRun,
   countFreeSlots,
   estimateLoad,
+  mayGoOnAt,
 } from './engine-view';
 
 /** An engine in a queue, with the load that it had when it was queued. */
@@ -18,14 +19,21 @@
   readonly load: number;
 }
 
+/** The engines of one weight version and one software version. */
+interface EngineQueue {
+  readonly version: WeightVersion;
+  readonly software: SoftwareVersion | undefined;
+  readonly engines: TinyQueue<QueuedEngine>;
+}
+
 /**
- * The engines with free slots, by version and load. Taking a slot costs time in the logarithm of the
+ * The engines with free slots, by versions and load. Taking a slot costs time in the logarithm of the
  * number of engines.
  */
 export class EngineIndex {
   readonly #engines = new Map<TargetId, MutableEngineView>();
 
-  readonly #queues = new Map<WeightVersion, TinyQueue<QueuedEngine>>();
+  readonly #queues = new Map<string, EngineQueue>();
 
   #freeSlots = 0;
 
@@ -36,9 +44,7 @@
       if (engine.isLoading || freeSlots === 0) return;
       this.#engines.set(engine.id, engine);
       this.#freeSlots += freeSlots;
-      const queue = this.#queues.get(engine.version) ?? new TinyQueue([], compareEngines);
-      this.#queues.set(engine.version, queue);
-      queue.push({ engine, position, load: estimateLoad(engine) });
+      this.#getQueue(engine).push({ engine, position, load: estimateLoad(engine) });
     });
   }
 
@@ -66,6 +72,17 @@
     return avoided && this.#occupy(avoided);
   }
 
+  #getQueue({ version, software }: MutableEngineView): TinyQueue<QueuedEngine> {
+    const key = `${version} ${software ?? ''}`;
+    const queue = this.#queues.get(key) ?? {
+      version,
+      software,
+      engines: new TinyQueue<QueuedEngine>([], compareEngines),
+    };
+    this.#queues.set(key, queue);
+    return queue.engines;
+  }
+
   #occupy(engine: MutableEngineView): MutableEngineView {
     const occupied = engine;
     occupied.running += 1;
@@ -79,11 +96,12 @@
     isAllowed: (engine: TargetId) => boolean,
   ): MutableEngineView | undefined {
     const { requiredVersion, leastVersion } = item;
-    const best = [...this.#queues]
-      .filter(([version]) =>
+    const best = [...this.#queues.values()]
+      .filter(({ version }) =>
         requiredVersion === undefined ? version >= leastVersion : version === requiredVersion,
       )
-      .map(([, queue]) => findFirst(queue, isAllowed))
+      .filter(({ software }) => mayGoOnAt(item, software))
+      .map(({ engines }) => findFirst(engines, isAllowed))
       .filter((first) => first !== undefined)
       .sort(compareEngines)[0];
     return best?.engine;
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -182,7 +182,7 @@
       this.#end('broken', 'the stream states no weight version');
       return;
     }
-    const result = this.task.addEvent(event, this.#version);
+    const result = this.task.addEvent(event, this.#version, this.engine.software);
     if (result === 'added' || result === 'repeated') return;
     if (result === 'gap') {
       this.#end('broken', `event ${event.number} does not follow the last one`);
--- a/packages/gateway/src/item-task.ts
+++ b/packages/gateway/src/item-task.ts
@@ -1,8 +1,15 @@
 /** An item that has no result yet, with the output that was generated so far. */
-import type { Clock, MonoTime, TargetId, WeightVersion } from '@hibiscushill/base';
+import type {
+  Clock,
+  Millis,
+  MonoTime,
+  SoftwareVersion,
+  TargetId,
+  WeightVersion,
+} from '@hibiscushill/base';
 
 import type { ItemSpec } from './caller-port';
-import type { WaitingItem } from './engine-view';
+import { type BegunOutput, type WaitingItem, mayGoOnAt } from './engine-view';
 import type { Submission } from './submission';
 import type { StreamEvent } from './target-port';
 import { type ItemFingerprint, createFingerprint } from './partial-output-cache';
@@ -14,6 +21,8 @@
   readonly lastNumber: number | undefined;
   /** All weight versions that generated an event, in the order of their first one. */
   readonly versions: readonly WeightVersion[];
+  /** The software version of the engines that generated it. */
+  readonly software: SoftwareVersion | undefined;
 }
 
 // An engine may fail whatever it is sent, so that a failure there says nothing about the item.
@@ -21,7 +30,7 @@
 
 /**
  * What became of an event: added to the output, a repeat of an earlier one, or rejected because it
- * doesn't follow the last one, its weight version is too old, or it would mix weight versions.
+ * doesn't follow the last one, its weight version is too old, or it would mix versions.
  */
 export type EventOutcome = 'added' | 'repeated' | 'gap' | 'too-old' | 'mixed';
 
@@ -56,8 +65,12 @@
 
   #versions: WeightVersion[] = [];
 
+  #software: SoftwareVersion | undefined;
+
   #restarts = 0;
 
+  #waitsSince: MonoTime;
+
   #startsAfter = -Infinity as MonoTime;
 
   /**
@@ -69,6 +82,7 @@
     this.submission = submission;
     this.spec = spec;
     this.knownSince = knownSince;
+    this.#waitsSince = knownSince;
     this.fingerprint = createFingerprint(submission.terms, spec);
   }
 
@@ -102,7 +116,12 @@
 
   /** The output so far; further events are added to the same arrays. */
   get output(): PartialOutput {
-    return { events: this.#events, lastNumber: this.#lastNumber, versions: this.#versions };
+    return {
+      events: this.#events,
+      lastNumber: this.#lastNumber,
+      versions: this.#versions,
+      software: this.#software,
+    };
   }
 
   /** How often the output was discarded. */
@@ -115,6 +134,20 @@
     return this.#events.length > 0;
   }
 
+  get begun(): BegunOutput | undefined {
+    return this.hasOutput ? { events: this.#events.length, software: this.#software } : undefined;
+  }
+
+  /** Marks it as waiting for an engine from now on. */
+  startWaiting(now: MonoTime): void {
+    this.#waitsSince = now;
+  }
+
+  /** How long it has waited for an engine and could have started, in milliseconds. */
+  countWaitMs(now: MonoTime): Millis {
+    return Math.max(0, now - Math.max(this.#waitsSince, this.#startsAfter));
+  }
+
   /** Counts a response with status 500 to a run. */
   countServerError(engine: TargetId): void {
     this.#serverErrors += 1;
@@ -173,6 +206,7 @@
     this.#events = [...output.events];
     this.#lastNumber = output.lastNumber;
     this.#versions = [...output.versions];
+    this.#software = output.software;
     return true;
   }
 
@@ -182,6 +216,7 @@
     this.#events = [];
     this.#lastNumber = undefined;
     this.#versions = [];
+    this.#software = undefined;
   }
 
   /**
@@ -189,16 +224,23 @@
    *
    * @param event - the event
    * @param version - the weight version that generated it
+   * @param software - the software version of the engine that generated it
    * @returns what became of it; only an added event is part of the output
    */
-  addEvent(event: StreamEvent, version: WeightVersion): EventOutcome {
+  addEvent(
+    event: StreamEvent,
+    version: WeightVersion,
+    software: SoftwareVersion | undefined,
+  ): EventOutcome {
     const last = this.#lastNumber;
     if (last !== undefined && event.number <= last) return 'repeated';
     if (event.number !== (last ?? event.number - 1) + 1) return 'gap';
     if (version < this.leastVersion) return 'too-old';
+    if (!mayGoOnAt(this, software)) return 'mixed';
     const isNew = !this.#versions.includes(version);
     if (isNew && this.#isSingleVersion && this.#versions.length > 0) return 'mixed';
     if (isNew) this.#versions.push(version);
+    this.#software = software;
     this.#events.push(event.data);
     this.#lastNumber = event.number;
     return 'added';
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -13,8 +13,16 @@
 export interface Placement<T extends WaitingItem> {
   readonly item: T;
   readonly engine: TargetId;
+  /** Whether the item's output is discarded, since it can't go on at this engine. */
+  readonly beginsAgain: boolean;
 }
 
+/**
+ * Tells how long an item has waited for an engine, in milliseconds; infinite if no engine has the
+ * software version of its output any more.
+ */
+export type GetWaitMs<T> = (item: T) => Millis;
+
 /** A policy for which items start at which engines. */
 export abstract class PlacementPolicy {
   /**
@@ -22,11 +30,13 @@
    *
    * @param items - the waiting items, the most urgent first
    * @param engines - the engines of the items' model
+   * @param getWaitMs - tells how long an item has waited for an engine
    * @returns items with their engines; the others go on waiting
    */
   abstract place<T extends WaitingItem>(
     items: readonly T[],
     engines: readonly EngineView[],
+    getWaitMs: GetWaitMs<T>,
   ): Placement<T>[];
 
   /** Forgets what is known of a group whose items no longer have to be placed. */
@@ -39,6 +49,10 @@
 const PROBE_SLOTS = 1;
 // With more waiting items than this for each slot of the fast engines, slow ones are used as well.
 const LONG_BACKLOG_ITEMS_PER_SLOT = 2;
+// Assumed while no engine's speed is known.
+const DEFAULT_MS_PER_EVENT = 30;
+// An item that waits longer than this may miss the end of its step.
+const MAX_VERSION_WAIT_MS = 2_000;
 
 /**
  * Balances items over engines of different speeds by their load.
@@ -46,6 +60,9 @@
  * Items start only where a slot is free, and wait here rather than in an engine's queue. The items
  * of a group go to the engine that has their common prompt in its cache while it has a free slot.
  * Slow engines are used only for a long backlog.
+ *
+ * An output goes on only at the software version that began it. It waits for an engine of that
+ * version no longer than an item that begins again takes to get as far.
  */
 export class BalancedPlacement extends PlacementPolicy {
   readonly #engineByGroup = new Map<string, TargetId>();
@@ -53,20 +70,38 @@
   override place<T extends WaitingItem>(
     items: readonly T[],
     engines: readonly EngineView[],
+    getWaitMs: GetWaitMs<T>,
   ): Placement<T>[] {
     const usable = new EngineIndex(listEligible(items.length, engines));
     const placements: Placement<T>[] = [];
+    const passedOver: T[] = [];
     for (const item of items) {
-      if (usable.isFull) break;
-      const engine = usable.take(item, this.#engineByGroup.get(item.group));
-      if (engine) {
-        this.#engineByGroup.set(item.group, engine.id);
-        placements.push({ item, engine: engine.id });
-      }
+      if (usable.isFull) return placements;
+      const placement = this.#placeAt(usable, item, item);
+      if (placement) placements.push(placement);
+      else if (item.begun) passedOver.push(item);
+    }
+    const fastest = findFastest(engines);
+    for (const item of passedOver) {
+      const wanted = createRestart(item, fastest, getWaitMs(item));
+      const placement = wanted && !usable.isFull && this.#placeAt(usable, item, wanted);
+      if (placement) placements.push(placement);
     }
     return placements;
   }
 
+  /** Places an item as it is wanted: with its output, or without. */
+  #placeAt<T extends WaitingItem>(
+    usable: EngineIndex,
+    item: T,
+    wanted: WaitingItem,
+  ): Placement<T> | undefined {
+    const engine = usable.take(wanted, this.#engineByGroup.get(item.group));
+    if (!engine) return undefined;
+    this.#engineByGroup.set(item.group, engine.id);
+    return { item, engine: engine.id, beginsAgain: wanted !== item };
+  }
+
   /** For how many groups it is known which engine has their prompt. */
   get knownGroups(): number {
     return this.#engineByGroup.size;
@@ -77,6 +112,31 @@
   }
 }
 
+/**
+ * Creates the item as it is to be placed when its output is discarded.
+ *
+ * @param item - an item whose output no engine can go on with now
+ * @param fastest - the time between two events at the fastest engine, in milliseconds
+ * @param waitedMs - how long the item has waited; infinite if its software version has left
+ * @returns undefined if it should rather wait on
+ */
+export function createRestart(
+  { group, leastVersion, requiredVersion, avoidedEngines, begun }: WaitingItem,
+  fastest: Millis,
+  waitedMs: Millis,
+): WaitingItem | undefined {
+  const msPerEvent = Number.isFinite(fastest) ? fastest : DEFAULT_MS_PER_EVENT;
+  const maxWaitMs = Math.min((begun?.events ?? 0) * msPerEvent, MAX_VERSION_WAIT_MS);
+  if (waitedMs <= maxWaitMs) return undefined;
+  return {
+    group,
+    leastVersion,
+    requiredVersion: Number.isFinite(waitedMs) ? requiredVersion : undefined,
+    avoidedEngines,
+    begun: undefined,
+  };
+}
+
 /**
  * Tells whether an engine's last known speed is slow.
  *
--- a/packages/gateway/src/progress-records.ts
+++ b/packages/gateway/src/progress-records.ts
@@ -3,6 +3,7 @@
   type Brand,
   type Offset,
   type RecordId,
+  type SoftwareVersion,
   type WeightVersion,
   createId,
 } from '@hibiscushill/base';
@@ -29,6 +30,8 @@
   readonly lastNumber: number;
   /** All weight versions of the chain up to the segment's last event. */
   readonly versions: readonly WeightVersion[];
+  /** The software version of the engines that generated the chain. */
+  readonly software?: SoftwareVersion | undefined;
 }
 
 /** The segments that were added to the outputs of running items since the record before. */
@@ -53,6 +56,7 @@
       events: z.array(z.string()),
       lastNumber: z.number(),
       versions: z.array(z.number()),
+      software: z.string().optional(),
     }),
   ),
 });
--- a/packages/gateway/src/progress-store.ts
+++ b/packages/gateway/src/progress-store.ts
@@ -152,7 +152,7 @@
   }
 
   #createSegment(task: ItemTask): UnsavedSegment {
-    const { events, lastNumber, versions } = task.output;
+    const { events, lastNumber, versions, software } = task.output;
     const chain = this.#getChain(task);
     return {
       chain,
@@ -163,6 +163,7 @@
         events: events.slice(chain.savedEvents),
         lastNumber: lastNumber ?? 0,
         versions: [...versions],
+        software,
       },
     };
   }
@@ -280,14 +281,14 @@
 
 /** Appends a segment to its chain; one that is repeated, late or follows a gap has no effect. */
 function applySegment(chains: Map<ItemFingerprint, RecoveredChain>, segment: OutputSegment): void {
-  const { work, chain: id, from, events, lastNumber, versions } = segment;
+  const { work, chain: id, from, events, lastNumber, versions, software } = segment;
   const known = chains.get(work);
   const isSame = known?.id === id;
   if (isSame && known.output.events.length >= from + events.length) return;
-  if (from === 0) chains.set(work, { id, output: { events, lastNumber, versions } });
+  if (from === 0) chains.set(work, { id, output: { events, lastNumber, versions, software } });
   else if (isSame && known.output.events.length === from) {
     const joined = [...known.output.events, ...events];
-    chains.set(work, { id, output: { events: joined, lastNumber, versions } });
+    chains.set(work, { id, output: { events: joined, lastNumber, versions, software } });
   }
 }
 
--- a/packages/gateway/src/run-tracker.ts
+++ b/packages/gateway/src/run-tracker.ts
@@ -1,5 +1,5 @@
 /** The runs at each engine, and what placement and weight changes need to know of them. */
-import type { ServiceId, TargetId, WeightVersion } from '@hibiscushill/base';
+import type { ServiceId, SoftwareVersion, TargetId, WeightVersion } from '@hibiscushill/base';
 
 import type { ConfigTracker } from './config-tracker';
 import type { TargetRegistration } from './target-directory';
@@ -14,7 +14,7 @@
 /** A model's runs at an engine, as far as a change of its weights depends on them. */
 export interface EngineRunSummary {
   readonly running: number;
-  /** Whether other engines have free slots for all of these runs. */
+  /** Whether other engines of the same software have free slots for all of these runs. */
   readonly canMoveRuns: boolean;
   /** Whether the engine is slow now or is left out after failures. */
   readonly isDegraded: boolean;
@@ -95,6 +95,7 @@
       slots: engine.slots,
       startsLeft: this.#limiter.countAvailable(engine),
       version: this.#engineTracker.versionOf(engine, model),
+      software: engine.software,
       isLoading: this.#engineTracker.isLoading(engine, model),
       msPerEvent: this.#engineTracker.msPerEventOf(engine),
       isSpeedFresh: this.#engineTracker.isSpeedFresh(engine),
@@ -117,7 +118,8 @@
           view.id,
           {
             running: runs.length,
-            canMoveRuns: runs.length <= freeSlots.countElsewhere(view.id, leastVersion),
+            canMoveRuns:
+              runs.length <= freeSlots.countElsewhere(view.id, view.software, leastVersion),
             isDegraded: isBackedOff || (view.isSpeedFresh && isSlow(view, fastest)),
           },
         ];
@@ -125,7 +127,7 @@
     );
   }
 
-  /** Lists runs on slow engines for which fast engines have free slots. */
+  /** Lists runs on slow engines for which fast engines of their software have free slots. */
   listMovableRuns(): ItemRun[] {
     const { runs } = this;
     const models = [...new Set(runs.map((run) => run.model))];
@@ -143,32 +145,48 @@
     const fastest = findFastest(views);
     const slow = views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh);
     const slowIds = new Set(slow.map((view) => view.id));
-    const freeSlots = views
-      .filter((view) => !slowIds.has(view.id))
-      .reduce((sum, view) => sum + countUsableSlots(view), 0);
-    return runs.filter((run) => slowIds.has(run.engine.id)).slice(0, freeSlots);
+    const fast = views.filter((view) => !slowIds.has(view.id));
+    const softwareVersions = [...new Set(slow.map(({ software }) => software))];
+    return softwareVersions.flatMap((software) => {
+      const freeSlots = fast
+        .filter((view) => view.software === software)
+        .reduce((sum, view) => sum + countUsableSlots(view), 0);
+      return runs
+        .filter(({ engine }) => slowIds.has(engine.id) && engine.software === software)
+        .slice(0, freeSlots);
+    });
   }
 }
 
-/** The free slots of all engines, counted once by version. */
+/** The free slots of all engines, counted once by software and weight version. */
 class FreeSlots {
-  readonly #slotsByVersion = new Map<WeightVersion, number>();
+  readonly #slotsBySoftware = new Map<SoftwareVersion | undefined, Map<WeightVersion, number>>();
 
   readonly #views = new Map<TargetId, EngineView>();
 
   constructor(views: readonly EngineView[]) {
     views.forEach((view) => {
       this.#views.set(view.id, view);
-      const counted = this.#slotsByVersion.get(view.version) ?? 0;
-      this.#slotsByVersion.set(view.version, counted + countUsableSlots(view));
+      const slots = this.#slotsBySoftware.get(view.software) ?? new Map<WeightVersion, number>();
+      this.#slotsBySoftware.set(view.software, slots);
+      slots.set(view.version, (slots.get(view.version) ?? 0) + countUsableSlots(view));
     });
   }
 
-  /** Counts the free slots of the other engines that have at least a version. */
-  countElsewhere(engine: TargetId, leastVersion: number): number {
+  /**
+   * Counts the free slots of the other engines that have an engine's software and at least a weight
+   * version.
+   *
+   * @param software - the engine's software
+   */
+  countElsewhere(
+    engine: TargetId,
+    software: SoftwareVersion | undefined,
+    leastVersion: number,
+  ): number {
     const own = this.#views.get(engine);
     const ownSlots = own && own.version >= leastVersion ? countUsableSlots(own) : 0;
-    return [...this.#slotsByVersion]
+    return [...(this.#slotsBySoftware.get(software) ?? [])]
       .filter(([version]) => version >= leastVersion)
       .reduce((sum, [, slots]) => sum + slots, -ownSlots);
   }
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -11,6 +11,7 @@
 
 import type { ItemSpec } from './caller-port';
 import type { ConfigTracker } from './config-tracker';
+import { mayGoOnAt } from './engine-view';
 import type { TargetRegistration } from './target-directory';
 import { RunTracker, type EngineRunSummary } from './run-tracker';
 import type { EngineTracker } from './engine-tracker';
@@ -314,14 +315,41 @@
     const engines = first ? this.#runTracker.listEngines(first) : [];
     const views = engines.map((engine) => this.#runTracker.describeEngine(engine, model));
     const enginesById = new Map(engines.map((engine) => [engine.id, engine]));
-    const placements = this.#options.placement.place(tasks, views);
-    placements.forEach(({ item, engine: id }) => {
+    const placements = this.#options.placement.place(tasks, views, (task) =>
+      this.#countWaitMs(task),
+    );
+    placements.forEach(({ item, engine: id, beginsAgain }) => {
       const engine = enginesById.get(id);
       const route = this.#runTracker.findRoute(item);
-      if (engine && route) this.#startRun(item, engine, model, route);
+      if (!engine || !route) return;
+      if (beginsAgain) this.#beginAgain(item, engine);
+      this.#startRun(item, engine, model, route);
     });
   }
 
+  /** How long an item has waited for an engine; infinite if its software version has left. */
+  #countWaitMs(task: ItemTask): Millis {
+    const service = this.#runTracker.findService(task);
+    const engines = service ? this.#options.engineTracker.listUsable(service) : [];
+    const isServed = engines.some(({ software }) => mayGoOnAt(task, software));
+    return isServed ? task.countWaitMs(this.#options.clock.mono()) : Infinity;
+  }
+
+  /** Discards the output of an item that no engine of its software version can run in time. */
+  #beginAgain(task: ItemTask, engine: TargetRegistration): void {
+    const { logger, metrics, clock } = this.#options;
+    metrics.count('item.begun_again');
+    logger.info('An item begins again at another software version.', {
+      id: formatItemId(task.submission.terms.id, task.spec.id),
+      target: engine.id,
+      software: engine.software,
+      earlierSoftware: task.output.software,
+      events: task.output.events.length,
+      waitedMs: Math.round(task.countWaitMs(clock.mono())),
+    });
+    task.restart();
+  }
+
   #startRun(task: ItemTask, engine: TargetRegistration, model: ModelId, route: ServingRoute): void {
     const { clock, client, engineTracker, limiter, logger, metrics } = this.#options;
     if (!limiter.take(engine, 'item')) return;
@@ -362,6 +390,7 @@
     } else {
       task.avoidedEngines.add(engine.id);
     }
+    task.startWaiting(this.#options.clock.mono());
     this.#waiting.add(task);
   }
 
--- a/packages/gateway/test/partial-output-cache.test.ts
+++ b/packages/gateway/test/partial-output-cache.test.ts
@@ -7,7 +7,12 @@
 const MAX_CHARS = 64_000_000;
 
 function createOutput(chars: number): PartialOutput {
-  return { events: ['x'.repeat(chars)], lastNumber: 1, versions: [1 as WeightVersion] };
+  return {
+    events: ['x'.repeat(chars)],
+    lastNumber: 1,
+    versions: [1 as WeightVersion],
+    software: undefined,
+  };
 }
 
 function fingerprint(name: string): ItemFingerprint {
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -1,4 +1,4 @@
-import type { TargetId, WeightVersion } from '@hibiscushill/base';
+import type { Millis, SoftwareVersion, TargetId, WeightVersion } from '@hibiscushill/base';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
@@ -7,6 +7,9 @@
 import { NaivePlacement } from './naive-placement';
 import { version } from './support';
 
+const OLD = '1.4.0' as SoftwareVersion;
+const NEW = '1.5.0' as SoftwareVersion;
+
 function engine(id: string, changes: Partial<EngineView> = {}): EngineView {
   return {
     id: id as TargetId,
@@ -14,6 +17,7 @@
     slots: 2,
     startsLeft: Infinity,
     version: version(3),
+    software: OLD,
     isLoading: false,
     msPerEvent: 35,
     isSpeedFresh: true,
@@ -26,15 +30,22 @@
     group,
     leastVersion: version(2),
     requiredVersion: undefined,
+    begun: undefined,
     avoidedEngines: new Set(),
     ...changes,
   };
 }
 
-function place(items: readonly WaitingItem[], engines: readonly EngineView[]): string[] {
+function place(
+  items: readonly WaitingItem[],
+  engines: readonly EngineView[],
+  waitedMs: Millis = 0,
+): string[] {
   return new BalancedPlacement()
-    .place(items, engines)
-    .map((one) => `${one.item.group}@${one.engine}`);
+    .place(items, engines, () => waitedMs)
+    .map(({ item: { group }, engine: id, beginsAgain }) =>
+      beginsAgain ? `${group}@${id} again` : `${group}@${id}`,
+    );
 }
 
 describe('the placement of items', () => {
@@ -97,7 +108,45 @@
   });
 });
 
+describe('the placement of items whose output has begun', () => {
+  const begun = { events: 10, software: OLD };
+  const engines = [engine('old', { running: 1 }), engine('new', { software: NEW })];
+
+  it('goes on only at the software version that began it', () => {
+    expect(place([item('a', { begun })], engines)).toEqual(['a@old']);
+  });
+
+  it('does not follow its group to an engine of another version', () => {
+    const items = [item('a'), item('a', { begun })];
+    expect(place(items, engines)).toEqual(['a@new', 'a@old']);
+  });
+
+  it('waits as long as it would take to begin again, and then begins again', () => {
+    const full = [engine('old', { running: 2 }), engine('new', { software: NEW })];
+    expect(place([item('a', { begun })], full, 349)).toEqual([]);
+    expect(place([item('a', { begun })], full, 351)).toEqual(['a@new again']);
+    expect(place([item('a', { begun: { ...begun, events: 1_000 } })], full, 2_001)).toEqual([
+      'a@new again',
+    ]);
+  });
+
+  it('begins again at once when its version has left', () => {
+    const left = [engine('new', { software: NEW })];
+    expect(place([item('a', { begun })], left, Infinity)).toEqual(['a@new again']);
+  });
+
+  it('leaves the slots to items that fit before any begins again', () => {
+    const full = [engine('old', { running: 2 }), engine('new', { software: NEW, slots: 1 })];
+    expect(place([item('a', { begun }), item('b')], full, 9_000)).toEqual(['b@new']);
+  });
+
+  it('is any software version when it has no output', () => {
+    expect(place([item('a')], [engine('new', { software: NEW })])).toEqual(['a@new']);
+  });
+});
+
 describe('the placement by an index', () => {
+  const software = fc.constantFrom(OLD, NEW, undefined);
   const engineView = (id: string): fc.Arbitrary<EngineView> =>
     fc.record({
       id: fc.constant(id as TargetId),
@@ -105,6 +154,7 @@
       slots: fc.integer({ min: 1, max: 4 }),
       startsLeft: fc.constantFrom(Infinity, 0, 1, 3),
       version: fc.integer({ min: 1, max: 3 }).map(version),
+      software,
       isLoading: fc.boolean(),
       msPerEvent: fc.constantFrom(undefined, 20, 30, 35, 140),
       isSpeedFresh: fc.boolean(),
@@ -116,6 +166,9 @@
     group: fc.constantFrom('a', 'b', 'c'),
     leastVersion: fc.integer({ min: 1, max: 4 }).map(version),
     requiredVersion: fc.option(fc.integer({ min: 1, max: 3 }).map(version), { nil: undefined }),
+    begun: fc.option(fc.record({ events: fc.integer({ min: 1, max: 40 }), software }), {
+      nil: undefined,
+    }),
     avoidedEngines: fc
       .array(fc.integer({ min: 0, max: 9 }), { maxLength: 3 })
       .map((ids) => new Set(ids.map((id) => `e${id}` as TargetId))),
@@ -125,11 +178,15 @@
     fc.assert(
       fc.property(
         fc.array(fc.tuple(fc.array(waiting, { maxLength: 30 }), engines), { maxLength: 4 }),
-        (rounds) => {
+        fc.constantFrom(0, 500, Infinity),
+        (rounds, waitedMs) => {
           const indexed = new BalancedPlacement();
           const naive = new NaivePlacement();
           rounds.forEach(([items, views]) => {
-            expect(indexed.place(items, views)).toEqual(naive.place(items, views));
+            const getWaitMs = (): Millis => waitedMs;
+            expect(indexed.place(items, views, getWaitMs)).toEqual(
+              naive.place(items, views, getWaitMs),
+            );
           });
         },
       ),
--- a/packages/gateway/test/progress-store.test.ts
+++ b/packages/gateway/test/progress-store.test.ts
@@ -1,4 +1,10 @@
-import { ManualClock, type MonoTime, type Offset, type WeightVersion } from '@hibiscushill/base';
+import {
+  ManualClock,
+  type MonoTime,
+  type Offset,
+  type SoftwareVersion,
+  type WeightVersion,
+} from '@hibiscushill/base';
 import { MemoryLog } from '@hibiscushill/log';
 import fc from 'fast-check';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -38,10 +44,12 @@
   return new ItemTask(SUBMISSION, createItem('i1'), 0 as MonoTime);
 }
 
+const SOFTWARE = '1.4.0' as SoftwareVersion;
+
 function addEvents(task: ItemTask, count: number, by: WeightVersion = version(1)): void {
   const from = task.output.events.length;
   EVENTS.slice(from, from + count).forEach((data, index) => {
-    task.addEvent({ number: from + index + 1, data, version: undefined }, by);
+    task.addEvent({ number: from + index + 1, data, version: undefined }, by, SOFTWARE);
   });
 }
 
@@ -74,6 +82,7 @@
       events: EVENTS.slice(0, 20),
       lastNumber: 20,
       versions: [1, 2],
+      software: SOFTWARE,
     });
   });
 
@@ -100,7 +109,12 @@
     addEvents(task, 8, version(2));
     await save(store, [task]);
     const output = (await recover()).get(FINGERPRINT);
-    expect(output).toEqual({ events: EVENTS.slice(0, 8), lastNumber: 8, versions: [2] });
+    expect(output).toEqual({
+      events: EVENTS.slice(0, 8),
+      lastNumber: 8,
+      versions: [2],
+      software: SOFTWARE,
+    });
   });
 
   it('are not saved for only a few new events, or too often', async () => {
@@ -122,7 +136,7 @@
     const tasks = Array.from({ length: 30 }, (_, index) => {
       const task = new ItemTask(SUBMISSION, createItem(`i${index}`), 0 as MonoTime);
       for (let number = 1; number <= 10 + index; number += 1) {
-        task.addEvent({ number, data: 'x'.repeat(400), version: undefined }, version(1));
+        task.addEvent({ number, data: 'x'.repeat(400), version: undefined }, version(1), SOFTWARE);
       }
       return task;
     });
@@ -139,7 +153,7 @@
     const large = new ItemTask(SUBMISSION, createItem('large'), 0 as MonoTime);
     const events = Array.from({ length: 24 }, (_, index) => `${index} ${'\u0001'.repeat(2_500)}`);
     events.forEach((data, index) => {
-      large.addEvent({ number: index + 1, data, version: undefined }, version(1));
+      large.addEvent({ number: index + 1, data, version: undefined }, version(1), SOFTWARE);
     });
     const small = createTask();
     addEvents(small, 8);
@@ -150,7 +164,12 @@
     const outputs = await recover();
     expect(outputs.get(FINGERPRINT)?.events).toEqual(EVENTS.slice(0, 8));
     const fingerprint = createFingerprint(SUBMISSION.terms, createItem('large'));
-    expect(outputs.get(fingerprint)).toEqual({ events, lastNumber: 24, versions: [1] });
+    expect(outputs.get(fingerprint)).toEqual({
+      events,
+      lastNumber: 24,
+      versions: [1],
+      software: SOFTWARE,
+    });
   });
 
   it('are complete although the response to a save was lost', async () => {
--- a/packages/gateway/test/run-tracker.test.ts
+++ b/packages/gateway/test/run-tracker.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock, type TargetId } from '@hibiscushill/base';
+import { ManualClock, type SoftwareVersion, type TargetId } from '@hibiscushill/base';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
@@ -15,6 +15,7 @@
 interface EngineCase {
   readonly slots: number;
   readonly version: number;
+  readonly software: SoftwareVersion | undefined;
   readonly isLoading: boolean;
   readonly isBackedOff: boolean;
   readonly msPerEvent: number | undefined;
@@ -30,6 +31,7 @@
   cases.forEach((one, index) => {
     const engine = createTarget(`e${index}`, {
       slots: one.slots,
+      software: one.software,
       versions: new Map([[MODEL, version(one.version)]]),
     });
     directory.recordRegistration(engine);
@@ -59,6 +61,7 @@
   const leastVersion = Math.max(1, ...runs);
   const freeSlots = healthy
     .filter((view) => view !== own && !view.isLoading && view.version >= leastVersion)
+    .filter((view) => view.software === own.software)
     .reduce((sum, view) => sum + Math.max(0, view.slots - view.running), 0);
   const isSlowNow = own.isSpeedFresh && isSlow(own, findFastest(healthy));
   return {
@@ -72,6 +75,7 @@
   const engineCase: fc.Arbitrary<EngineCase> = fc.record({
     slots: fc.integer({ min: 1, max: 4 }),
     version: fc.integer({ min: 1, max: 3 }),
+    software: fc.constantFrom('1.4.0' as SoftwareVersion, '1.5.0' as SoftwareVersion, undefined),
     isLoading: fc.boolean(),
     isBackedOff: fc.boolean(),
     msPerEvent: fc.constantFrom(undefined, 20, 30, 140),
