Count runs that break at an engine at once as one failure

A run whose connection broke counts only if it began after the last counted failure. Silent engines are counted as before. The new unit test failed before.

--- a/packages/gateway/src/engine-tracker.ts
+++ b/packages/gateway/src/engine-tracker.ts
@@ -24,6 +24,8 @@
   /** Not used before this time, since runs there failed. */
   backoffUntil: MonoTime;
   consecutiveFailures: number;
+  /** When the last failure was counted. */
+  failedAt: MonoTime;
 }
 
 // The weight of the newest sample in the moving average of an engine's speed.
@@ -134,9 +136,16 @@
     this.#getState(engine).consecutiveFailures = 0;
   }
 
-  /** Records a run that broke off or timed out, which starts or extends the back-off. */
-  recordFailure(engine: TargetRegistration): void {
+  /**
+   * Records a run that broke off or timed out, which starts or extends the back-off.
+   *
+   * @param brokenSince - when a run began whose connection broke; several that break at once, or
+   *   because of the same event, count as one failure
+   */
+  recordFailure(engine: TargetRegistration, brokenSince?: MonoTime): void {
     const state = this.#getState(engine);
+    if (brokenSince !== undefined && brokenSince <= state.failedAt) return;
+    state.failedAt = this.#clock.mono();
     const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** state.consecutiveFailures);
     state.consecutiveFailures += 1;
     state.backoffUntil = (this.#clock.mono() + backoffMs) as MonoTime;
@@ -159,6 +168,7 @@
       speedMeasuredAt: -Infinity as MonoTime,
       backoffUntil: -Infinity as MonoTime,
       consecutiveFailures: 0,
+      failedAt: -Infinity as MonoTime,
     };
     this.#states.set(engine.id, state);
     if (this.#states.size >= this.#cleanAt) this.#removeUnregistered();
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -205,7 +205,10 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     const { clock, engineTracker, logger, onEnd } = this.#options;
-    if (ENGINE_FAILURES.has(outcome)) engineTracker.recordFailure(this.engine);
+    if (ENGINE_FAILURES.has(outcome)) {
+      const brokenSince = outcome === 'broken' ? this.#startedAt : undefined;
+      engineTracker.recordFailure(this.engine, brokenSince);
+    }
     if (outcome === 'complete') engineTracker.recordSuccess(this.engine);
     if (outcome !== 'complete') this.#abort();
     logger.info('A run ended.', {
--- a/packages/gateway/test/engine-tracker.test.ts
+++ b/packages/gateway/test/engine-tracker.test.ts
@@ -25,3 +25,24 @@
     expect(versions).toEqual(live.map((_, index) => version(4_901 + index)));
   });
 });
+
+describe('an engine on which several runs break at once', () => {
+  const BACKOFF_MS = 250;
+
+  it('is left out as after one failure, and longer after the next', () => {
+    const clock = new ManualClock(1_000);
+    const directory = new TargetDirectory({ clock, metrics: createMetrics() });
+    const tracker = new EngineTracker(clock, directory);
+    const engine = createTarget('e1');
+    const beganAt = clock.mono();
+    clock.advance(100);
+    for (let run = 0; run < 8; run += 1) tracker.recordFailure(engine, beganAt);
+    clock.advance(BACKOFF_MS - 1);
+    expect(tracker.isBackedOff(engine)).toBe(true);
+    clock.advance(1);
+    expect(tracker.isBackedOff(engine)).toBe(false);
+    tracker.recordFailure(engine, clock.mono());
+    clock.advance(2 * BACKOFF_MS - 1);
+    expect(tracker.isBackedOff(engine)).toBe(true);
+  });
+});
