--- a/packages/gateway/src/engine-tracker.ts
+++ b/packages/gateway/src/engine-tracker.ts
@@ -24,8 +24,8 @@
   /** Not used before this time, since runs there failed. */
   backoffUntil: MonoTime;
   consecutiveFailures: number;
-  /** When the last failure was counted. */
-  failedAt: MonoTime;
+  /** When the last broken run was counted. */
+  brokenAt: MonoTime;
 }
 
 // The weight of the newest sample in the moving average of an engine's speed.
@@ -35,6 +35,8 @@
 // An engine is left out after a failure, twice as long after each further one in a row.
 const BACKOFF_BASE_MS = 250;
 const BACKOFF_MAX_MS = 4_000;
+// All connections that one event breaks are seen to be broken within this time.
+const SAME_EVENT_MS = 100;
 // States of engines that are no longer registered are removed once the states have doubled since the
 // last time, so that this costs little for each new engine. Below this many they aren't removed.
 const MIN_STATES_TO_CLEAN = 64;
@@ -139,16 +141,16 @@
   /**
    * Records a run that broke off or timed out, which starts or extends the back-off.
    *
-   * @param brokenSince - when a run began whose connection broke; several that break at once, or
-   *   because of the same event, count as one failure
+   * @param isBroken - whether its connection broke; several that break at once count as one failure
    */
-  recordFailure(engine: TargetRegistration, brokenSince?: MonoTime): void {
+  recordFailure(engine: TargetRegistration, isBroken = false): void {
     const state = this.#getState(engine);
-    if (brokenSince !== undefined && brokenSince <= state.failedAt) return;
-    state.failedAt = this.#clock.mono();
+    const now = this.#clock.mono();
+    if (isBroken && now - state.brokenAt < SAME_EVENT_MS) return;
+    if (isBroken) state.brokenAt = now;
     const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** state.consecutiveFailures);
     state.consecutiveFailures += 1;
-    state.backoffUntil = (this.#clock.mono() + backoffMs) as MonoTime;
+    state.backoffUntil = (now + backoffMs) as MonoTime;
   }
 
   /** Whether an engine is left out because of recent failures. */
@@ -168,7 +170,7 @@
       speedMeasuredAt: -Infinity as MonoTime,
       backoffUntil: -Infinity as MonoTime,
       consecutiveFailures: 0,
-      failedAt: -Infinity as MonoTime,
+      brokenAt: -Infinity as MonoTime,
     };
     this.#states.set(engine.id, state);
     if (this.#states.size >= this.#cleanAt) this.#removeUnregistered();
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -206,8 +206,7 @@
     this.#hasEnded = true;
     const { clock, engineTracker, logger, onEnd } = this.#options;
     if (ENGINE_FAILURES.has(outcome)) {
-      const brokenSince = outcome === 'broken' ? this.#startedAt : undefined;
-      engineTracker.recordFailure(this.engine, brokenSince);
+      engineTracker.recordFailure(this.engine, outcome === 'broken');
     }
     if (outcome === 'complete') engineTracker.recordSuccess(this.engine);
     if (outcome !== 'complete') this.#abort();
--- a/packages/gateway/test/engine-tracker.test.ts
+++ b/packages/gateway/test/engine-tracker.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock, type TargetId } from '@hibiscushill/base';
-import { describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it } from 'vitest';
 
 import { EngineTracker } from '../src/engine-tracker';
 import { TargetDirectory } from '../src/target-directory';
@@ -29,20 +29,33 @@
 describe('an engine on which several runs break at once', () => {
   const BACKOFF_MS = 250;
 
-  it('is left out as after one failure, and longer after the next', () => {
-    const clock = new ManualClock(1_000);
+  let clock: ManualClock;
+  let tracker: EngineTracker;
+  const engine = createTarget('e1');
+
+  beforeEach(() => {
+    clock = new ManualClock(1_000);
     const directory = new TargetDirectory({ clock, metrics: createMetrics() });
-    const tracker = new EngineTracker(clock, directory);
-    const engine = createTarget('e1');
-    const beganAt = clock.mono();
-    clock.advance(100);
-    for (let run = 0; run < 8; run += 1) tracker.recordFailure(engine, beganAt);
+    tracker = new EngineTracker(clock, directory);
+  });
+
+  it('is left out as after one failure, and longer after the next', () => {
+    for (let run = 0; run < 8; run += 1) tracker.recordFailure(engine, true);
     clock.advance(BACKOFF_MS - 1);
     expect(tracker.isBackedOff(engine)).toBe(true);
     clock.advance(1);
     expect(tracker.isBackedOff(engine)).toBe(false);
-    tracker.recordFailure(engine, clock.mono());
+    tracker.recordFailure(engine, true);
     clock.advance(2 * BACKOFF_MS - 1);
     expect(tracker.isBackedOff(engine)).toBe(true);
   });
+
+  it('is left out longer for each run that breaks later, or is silent', () => {
+    tracker.recordFailure(engine, true);
+    clock.advance(101);
+    tracker.recordFailure(engine, true);
+    tracker.recordFailure(engine);
+    clock.advance(4 * BACKOFF_MS - 1);
+    expect(tracker.isBackedOff(engine)).toBe(true);
+  });
 });
