Withdraw origins of streams only while nothing was declared meanwhile

A withdrawal whose response was lost may take effect seconds later, and would then undo a declaration of the same version that came meanwhile; a process that reads a single origin would take it for the only one. The append names the offset at which the log must end. Found on reading. Tests withdrawals.

--- a/packages/gateway/src/declared-origins.ts
+++ b/packages/gateway/src/declared-origins.ts
@@ -7,6 +7,7 @@
   Metrics,
   Millis,
   MonoTime,
+  Offset,
   ServiceId,
   SoftwareVersion,
 } from '@hibiscushill/base';
@@ -37,6 +38,13 @@
   readonly route: string;
 }
 
+/** What a read of the log has found. */
+interface KnownDeclarations {
+  /** By their keys on the log. */
+  readonly declarations: ReadonlyMap<string, Declaration>;
+  readonly end: Offset;
+}
+
 /** The keyed log of declarations, the targets and the routes. */
 export interface DeclaredOriginsOptions {
   readonly clock: Clock;
@@ -57,8 +65,8 @@
 export class DeclaredOrigins {
   readonly #options: DeclaredOriginsOptions;
 
-  /** The declarations that were read, by their keys on the log. */
-  #known: ReadonlyMap<string, Declaration> = new Map();
+  /** What was read last. */
+  #known: KnownDeclarations = { declarations: new Map(), end: 0 as Offset };
 
   /** The ids of the origins that this process has declared and that targets have had since. */
   readonly #own = new Set<string>();
@@ -73,9 +81,9 @@
 
   #readAt = -Infinity as MonoTime;
 
-  #reading: Promise<ReadonlyMap<string, Declaration> | undefined> | undefined;
+  #reading: Promise<KnownDeclarations | undefined> | undefined;
 
-  #nextReading: Promise<ReadonlyMap<string, Declaration> | undefined> | undefined;
+  #nextReading: Promise<KnownDeclarations | undefined> | undefined;
 
   /** @param options - the log, the targets and the routes */
   constructor(options: DeclaredOriginsOptions) {
@@ -115,7 +123,7 @@
    */
   async read(route: ServingRoute): Promise<readonly StreamOrigin[] | undefined> {
     const known = await this.#read();
-    return known && [...known.values()].filter((one) => one.route === route.name);
+    return known && [...known.declarations.values()].filter((one) => one.route === route.name);
   }
 
   /** Declares the origins of targets that have none yet; called repeatedly. */
@@ -159,7 +167,7 @@
   }
 
   #findMixedRoutes(routes: readonly ServingRoute[], listed: readonly Declaration[]): void {
-    const all = [...this.#known.values(), ...listed];
+    const all = [...this.#known.declarations.values(), ...listed];
     this.#mixedRoutes.clear();
     routes
       .filter(({ name }) => {
@@ -191,21 +199,22 @@
   }
 
   /** Withdraws what no target has had for long. */
-  async #withdraw(known: ReadonlyMap<string, Declaration>): Promise<void> {
+  async #withdraw({ declarations, end }: KnownDeclarations): Promise<void> {
     const { clock, logger, log } = this.#options;
     const now = clock.mono();
-    for (const [key, declaration] of known) {
+    for (const [key, declaration] of declarations) {
       const id = createId(declaration);
       const listedAt = this.#listedAt.get(id) ?? now;
       this.#listedAt.set(id, listedAt);
       if (now - listedAt < WITHDRAWAL_DELAY_MS) continue;
-      const done = await log.append({ key, value: undefined });
+      // An append that takes effect late must not undo a declaration that came meanwhile.
+      const done = await log.append({ key, value: undefined }, end);
       if (done.isOk()) logger.info('An origin of streams was withdrawn.', { ...declaration });
     }
   }
 
   /** Reads all declarations by a read that is sent after this call. */
-  #read(): Promise<ReadonlyMap<string, Declaration> | undefined> {
+  #read(): Promise<KnownDeclarations | undefined> {
     if (this.#reading) {
       this.#nextReading ??= this.#reading.then(() => {
         this.#nextReading = undefined;
@@ -219,7 +228,7 @@
     return this.#reading;
   }
 
-  async #fetch(): Promise<ReadonlyMap<string, Declaration> | undefined> {
+  async #fetch(): Promise<KnownDeclarations | undefined> {
     const { clock, metrics, logger, log } = this.#options;
     const sentAt = clock.mono();
     const snapshot = await log.readSnapshot();
@@ -236,7 +245,8 @@
       return undefined;
     }
     this.#readAt = sentAt;
-    this.#known = new Map(decoded.filter((entry) => entry !== undefined));
+    const declarations = new Map(decoded.filter((entry) => entry !== undefined));
+    this.#known = { declarations, end: snapshot.value.end };
     return this.#known;
   }
 }
--- a/packages/gateway/test/stream-exchange.test.ts
+++ b/packages/gateway/test/stream-exchange.test.ts
@@ -87,9 +87,9 @@
   }
 
   override append(
-    ...[record]: Parameters<MemoryKeyedLog['append']>
+    ...[record, at]: Parameters<MemoryKeyedLog['append']>
   ): ReturnType<MemoryKeyedLog['append']> {
-    return this.isDown ? fail() : this.#shared.append(record);
+    return this.isDown ? fail() : this.#shared.append(record, at);
   }
 }
 
@@ -123,7 +123,7 @@
       log: this.#keyedLog,
       directory: this.directory,
       listRoutes: () => [ROUTE, OTHER_ROUTE],
-      isWithdrawing: () => false,
+      isWithdrawing: () => true,
     });
     const shared = { clock, metrics, logger, log: this.#log, tail: this.tail };
     this.exchange = new StreamExchange({ ...shared, origins });
@@ -330,6 +330,22 @@
     expect((await prepare(process, 'new' as RequestId)).allowed).toEqual([OLD]);
   });
 
+  it('withdraws a version ten minutes after its targets left, and writes no records then', async () => {
+    const process = addProcess();
+    await readTargets(OLD, NEW);
+    await readTargets(NEW);
+    expect(process.exchange.origins.isMixed(ROUTE)).toBe(true);
+    for (let minute = 0; minute < 12; minute += 1) {
+      clock.advance(60_000);
+      await pass(500);
+    }
+    expect(process.exchange.origins.isMixed(ROUTE)).toBe(false);
+    const before = (await log.bounds('usage'))._unsafeUnwrap().next;
+    await beginAt(process, NEW);
+    await pass(500);
+    expect((await log.bounds('usage'))._unsafeUnwrap().next).toBe(before);
+  });
+
   it('keeps the streams of teams apart', async () => {
     const process = addProcess();
     await readTargets(OLD, NEW);
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -102,16 +102,22 @@
 
   readonly #records = new Map<string, KeyedRecord>();
 
+  #end = 0 as Offset;
+
   override readSnapshot(): ResultAsync<KeyedSnapshot, Failure> {
-    return this.#run(() => ({ records: [...this.#records.values()], end: 0 as Offset }));
+    return this.#run(() => ({ records: [...this.#records.values()], end: this.#end }));
   }
 
   override read(from: Offset): ResultAsync<KeyedPage, Failure> {
     return this.#run(() => ({ records: [], next: from, end: from }));
   }
 
-  override append(record: KeyedRecord): ResultAsync<void, Failure> {
+  override append(record: KeyedRecord, at?: Offset): ResultAsync<void, Failure> {
+    if (at !== undefined && at !== this.#end) {
+      return errAsync(createFailure('platform_refused', { detail: 'the log ends elsewhere' }));
+    }
     return this.#run(() => {
+      this.#end = (this.#end + 1) as Offset;
       if (record.value === undefined) this.#records.delete(record.key);
       else this.#records.set(record.key, record);
     });
--- a/packages/log/src/keyed-log.ts
+++ b/packages/log/src/keyed-log.ts
@@ -56,6 +56,7 @@
    * Appends a record; not every keyed log may be written to.
    *
    * @param record - the newest record of its key from then on
+   * @param at - the offset at which the log must end, else nothing is appended
    */
-  abstract append(record: KeyedRecord): ResultAsync<void, Failure>;
+  abstract append(record: KeyedRecord, at?: Offset): ResultAsync<void, Failure>;
 }
