--- a/review/3/run.ts
+++ b/review/3/run.ts
@@ -1,4 +1,4 @@
-/** The only replica of the first service of a split rollout route is lost for good. */
+/** The next version is named while a step that was requested ahead runs, on a single-version route. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { HOST, runCase } from '../support/deployment';
@@ -6,48 +6,46 @@
 import { Replica } from '../support/replica';
 import { findLostItems, runStep } from '../support/trainer';
 
-const LOST_AFTER_MS = 1_500;
-const ENGINE = { slots: 8, model: 'daka51', countEvents: () => 80, eventMs: 40 };
+const NAMED_AFTER_MS = 500;
+const ITEMS_PER_GROUP = 4;
+const SHORT_EVENTS = 8;
+const LONG_EVENTS = 100;
 
 const record = new CaseRecord(process.argv[2] ?? 'record.txt');
 
 await runCase(record, async (deployment, hasTrouble) => {
-  const canary = new Replica({ ...ENGINE, id: 'i-canary', service: 'huvo11b' }, record);
-  const others = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5'].map(
-    (id) => new Replica({ ...ENGINE, id, service: 'huvo11a' }, record),
+  const replicas = ['i-1', 'i-2', 'i-3'].map(
+    (id) =>
+      new Replica(
+        { id, service: 'huvo11a', slots: 8, model: 'daka51', countEvents, eventMs: 40 },
+        record,
+      ),
   );
-  const replicas = [canary, ...others];
   const routes = [
     {
       name: 'r-1',
       host: HOST,
       pathPrefix: '/pule252/',
       kind: 'rollout',
+      singleVersion: true,
       timeoutMs: 10_000,
       goalMs: 400,
       resultTargetMs: 7_500,
       retentionS: 40,
       priority: 0,
-      split: [
-        { service: 'huvo11b', weight: 10 },
-        { service: 'huvo11a', weight: 90 },
-      ],
+      service: 'huvo11a',
       maxAttempts: 3,
       sticky: true,
     },
   ];
-  const engine = { models: [{ name: 'daka51' }] };
-  const services = [
-    { name: 'huvo11a', engine },
-    { name: 'huvo11b', engine },
-  ];
+  const services = [{ name: 'huvo11a', engine: { models: [{ name: 'daka51' }] } }];
   await deployment.start({ routes, services }, replicas, 2);
   await sleep(5_000);
-  let disruptedAt: number | undefined;
-  const loseCanary = async (): Promise<void> => {
-    await sleep(LOST_AFTER_MS);
-    deployment.loseReplica(canary);
-    disruptedAt = record.elapsedMs;
+  let namedAt: number | undefined;
+  const nameNext = async (): Promise<void> => {
+    await sleep(NAMED_AFTER_MS);
+    deployment.nameVersion('daka51', 2);
+    namedAt = record.elapsedMs;
   };
   const outcome = await runStep(
     deployment,
@@ -55,19 +53,23 @@
       id: 'step-2',
       pathPrefix: '/pule252/',
       model: 'daka51',
-      step: 2,
-      minVersion: 1,
-      groups: 4,
-      itemsPerGroup: 4,
+      training: { step: 2, minVersion: 1 },
+      groups: 2,
+      itemsPerGroup: ITEMS_PER_GROUP,
       budgetMs: 12_000,
     },
     () => {
-      if (hasTrouble) void loseCanary();
+      if (hasTrouble) void nameNext();
     },
   );
-  const lost = findLostItems(outcome, replicas, { disruptedAt, namedAt: undefined });
+  const lost = findLostItems(outcome, replicas, { disruptedAt: undefined, namedAt });
   lost.forEach((id) =>
     record.add('case', `${id} was at no replica in the last 5 s of the step, and isn't finished`),
   );
   return lost.length > 0 ? 'broken' : 'held';
 });
+
+/** The outputs of the first group are short, and those of the second one are long. */
+function countEvents(id: string): number {
+  return Number(id.split('-').at(-1)) < ITEMS_PER_GROUP ? SHORT_EVENTS : LONG_EVENTS;
+}
--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -114,12 +114,16 @@
     const parts: Buffer[] = [];
     req.on('data', (part: Buffer) => parts.push(part));
     req.on('end', () => {
+      this.holder = this.processes.find(({ name }) => name === req.headers['duty-holder']);
       const who = `${String(req.headers['duty-holder'])} fence ${String(req.headers['fence-token'])}`;
       this.record.add('platform', `${req.url} by ${who}: ${Buffer.concat(parts).toString()}`);
       res.writeHead(200).end();
     });
   });
 
+  /** The process that the platform heard last as the holder of the duty of usage reports. */
+  holder: ProgramProcess | undefined;
+
   // A network of its own in 127.0.0.0/8, so that the ports of the deploy file are free there.
   readonly #network = `127.${randomByte()}.${randomByte()}`;
 
--- a/review/support/replica.ts
+++ b/review/support/replica.ts
@@ -20,6 +20,9 @@
   /** The number of events of a request's stream, and the time between two of them. */
   readonly countEvents?: (id: string) => number;
   readonly eventMs?: number;
+  /** Whether the runs of a request fail, and how long each takes to fail. */
+  readonly isFailing?: (id: string) => boolean;
+  readonly failMs?: number;
   /** How long a request to a plain service takes. */
   readonly workMs?: number;
 }
@@ -34,6 +37,8 @@
   endedAt: number | undefined;
   /** Whether the response was sent to its end. */
   isComplete: boolean;
+  /** Whether it was answered with 500. */
+  hasFailed: boolean;
 }
 
 /** Serves requests one after the other on each channel, `slots` of them at once. */
@@ -258,6 +263,7 @@
       resumedAfter,
       endedAt: undefined,
       isComplete: false,
+      hasFailed: false,
     };
     this.runs.push(run);
     const details = `tenant ${String(req.headers.tenant)}, ${String(req.headers['deadline-ms'])} ms left`;
@@ -265,13 +271,18 @@
     res.setHeader('Response-Stamp', `stamp.${options.id}.${id}`);
     res.setHeader('Server-Load', `${this.#running},${this.#waiting.length},${options.slots}`);
     const deadlineAt = Date.now() + Number(req.headers['deadline-ms'] ?? Infinity);
-    if (options.model === undefined) {
+    if (options.isFailing?.(id)) {
+      await sleep(options.failMs ?? 0);
+      if (!res.destroyed) res.writeHead(500).end();
+      run.hasFailed = !res.destroyed;
+    } else if (options.model === undefined) {
       await sleep(options.workMs ?? 20);
       if (!res.destroyed) res.end(`answer to ${id}`);
     } else await this.#stream(id, resumedAfter, res, deadlineAt);
     run.endedAt = this.#record.elapsedMs;
-    run.isComplete = !res.destroyed;
-    this.#record.add(options.id, `${run.isComplete ? 'completed' : 'dropped'} ${id}`);
+    run.isComplete = !res.destroyed && !run.hasFailed;
+    const outcome = run.isComplete ? 'completed' : 'dropped';
+    this.#record.add(options.id, run.hasFailed ? `answers ${id} with 500` : `${outcome} ${id}`);
   }
 
   async #stream(id: string, after: number, res: ServerResponse, deadlineAt: number): Promise<void> {
--- a/review/support/trainer.ts
+++ b/review/support/trainer.ts
@@ -1,4 +1,4 @@
-/** A trainer that submits one step, reads its results and gives up at its time budget. */
+/** A client that submits one batch, reads its results and gives up at its time budget. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { send } from './client';
@@ -17,9 +17,10 @@
 export interface StepOptions {
   readonly id: string;
   readonly pathPrefix: string;
+  /** The model that its items name in their headers. */
   readonly model: string;
-  readonly step: number;
-  readonly minVersion: number;
+  /** What a trainer states beside its items; undefined for a batch that no trainer submits. */
+  readonly training?: { readonly step: number; readonly minVersion: number };
   readonly groups: number;
   readonly itemsPerGroup: number;
   readonly budgetMs: number;
@@ -51,7 +52,7 @@
   onAccepted: () => void,
 ): Promise<StepOutcome> {
   const { record, processes } = deployment;
-  const { id, pathPrefix, model, step, minVersion, groups, itemsPerGroup, budgetMs } = options;
+  const { id, pathPrefix, model, training, groups, itemsPerGroup, budgetMs } = options;
   const headers = { Host: HOST, Authorization: `Bearer ${API_KEY}` };
   const items = Array.from({ length: groups * itemsPerGroup }, (_, index) => ({
     id: `${id}-${index}`,
@@ -65,7 +66,8 @@
     tokens: 940,
     group: `${id}-g${Math.floor(index / itemsPerGroup)}`,
   }));
-  const body = JSON.stringify({ step, model, minVersion, desired: groups, items });
+  const terms = training && { ...training, model, desired: groups };
+  const body = JSON.stringify({ ...terms, items });
   const startedAt = record.elapsedMs;
   for (let attempt = 0; ; attempt += 1) {
     const node = processes[attempt % processes.length];
