--- a/review/support/replica.ts
+++ b/review/support/replica.ts
@@ -54,11 +54,14 @@
   /** Whether the answer to the next report comes a second time, late: before the next answer. */
   repeatsReport = false;
 
+  /** How many answers it has sent a second time. */
+  extraAnswers = 0;
+
   /** How many answers it has sent. */
   answers = 0;
 
   /** Answers that come a second time, by the channel on which they were sent. */
-  readonly #extraAnswers = new Map<Socket, string>();
+  readonly #pendingExtras = new Map<Socket, string>();
 
   readonly #record: CaseRecord;
 
@@ -170,13 +173,14 @@
     if (!this.repeatsReport) return;
     this.repeatsReport = false;
     const head = ['HTTP/1.1 200 OK', 'Content-Type: application/json', `Content-Length: ${length}`];
-    this.#extraAnswers.set(socket, `${head.join('\r\n')}\r\n\r\n${body}`);
+    this.#pendingExtras.set(socket, `${head.join('\r\n')}\r\n\r\n${body}`);
   }
 
   #sendExtraAnswer(socket: Socket): void {
-    const extra = this.#extraAnswers.get(socket);
+    const extra = this.#pendingExtras.get(socket);
     if (extra === undefined) return;
-    this.#extraAnswers.delete(socket);
+    this.#pendingExtras.delete(socket);
+    this.extraAnswers += 1;
     this.#record.add(
       this.options.id,
       `sends its answer to a report a second time: ${extra.slice(-160)}`,
