Make the case of a single-version route break in each run

Items were sometimes moved to an engine that had no runs when its load was planned, and ended there while the load waited. The stand-ins lie beside the cases' folders now.

--- a/review/3/run.ts
+++ b/review/3/run.ts
@@ -1,13 +1,14 @@
 /** The next version is named while a step that was requested ahead runs, on a single-version route. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { HOST, runCase } from '../support/deployment';
-import { CaseRecord } from '../support/record';
-import { Replica } from '../support/replica';
-import { findLostItems, runStep } from '../support/trainer';
+import { HOST, runCase } from '../deployment';
+import { CaseRecord } from '../record';
+import { Replica } from '../replica';
+import { findLostItems, runStep } from '../trainer';
 
 const NAMED_AFTER_MS = 500;
 const ITEMS_PER_GROUP = 4;
+const GROUPS = 3;
 const SHORT_EVENTS = 8;
 const LONG_EVENTS = 100;
 
@@ -54,7 +55,7 @@
       pathPrefix: '/pule252/',
       model: 'daka51',
       training: { step: 2, minVersion: 1 },
-      groups: 2,
+      groups: GROUPS,
       itemsPerGroup: ITEMS_PER_GROUP,
       budgetMs: 12_000,
     },
@@ -69,7 +70,8 @@
   return lost.length > 0 ? 'broken' : 'held';
 });
 
-/** The outputs of the first group are short, and those of the second one are long. */
+/** The outputs of the last group are short, and those of the others are long. */
 function countEvents(id: string): number {
-  return Number(id.split('-').at(-1)) < ITEMS_PER_GROUP ? SHORT_EVENTS : LONG_EVENTS;
+  const group = Math.floor(Number(id.split('-').at(-1)) / ITEMS_PER_GROUP);
+  return group === GROUPS - 1 ? SHORT_EVENTS : LONG_EVENTS;
 }
--- a/review/4/run.ts
+++ b/review/4/run.ts
@@ -1,10 +1,10 @@
 /** The only replica of the first service of a split rollout route is lost for good. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { HOST, runCase } from '../support/deployment';
-import { CaseRecord } from '../support/record';
-import { Replica } from '../support/replica';
-import { findLostItems, runStep } from '../support/trainer';
+import { HOST, runCase } from '../deployment';
+import { CaseRecord } from '../record';
+import { Replica } from '../replica';
+import { findLostItems, runStep } from '../trainer';
 
 const LOST_AFTER_MS = 1_500;
 const ENGINE = { slots: 8, model: 'daka51', countEvents: () => 80, eventMs: 40 };
--- a/review/5/run.ts
+++ b/review/5/run.ts
@@ -1,10 +1,10 @@
 /** A stream that a process took shortly after its SIGTERM, on a route of streams. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { send } from '../support/client';
-import { API_KEY, HOST, runCase } from '../support/deployment';
-import { CaseRecord } from '../support/record';
-import { Replica } from '../support/replica';
+import { send } from '../client';
+import { API_KEY, HOST, runCase } from '../deployment';
+import { CaseRecord } from '../record';
+import { Replica } from '../replica';
 
 const record = new CaseRecord(process.argv[2] ?? 'record.txt');
 
