Move no run off the last engine that can go on with its output

Cause: a run's place elsewhere was counted by software and least weight version, not by the only version with which its output may go on, so that the last engine with that version was ordered to load another. An item that discards its output kept that version as a requirement, and waited for good.

Change: assignSlots in packages/routing gives each run that is to leave its engine a slot of its own; moves for weights and off slow engines ask it, the former once more when the order is about to be sent. An item without an engine of its versions begins again at any version that its submission allows.

--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -19,7 +19,7 @@
 
 /**
  * Tells how long an item has waited for an engine, in milliseconds; infinite if no engine has the
- * software version of its output any more.
+ * versions with which its output may go on any more.
  */
 export type GetWaitMs<T> = (item: T) => Millis;
 
@@ -61,8 +61,9 @@
  * of a group go to the engine that has their common prompt in its cache while it has a free slot.
  * Slow engines are used only for a long backlog.
  *
- * An output goes on only at the software version that began it. It waits for an engine of that
- * version no longer than an item that begins again takes to get as far.
+ * An output goes on only at the software version that began it, and at its weight version if it must
+ * not mix several. It waits for such an engine no longer than an item that begins again takes to get
+ * as far.
  */
 export class BalancedPlacement extends PlacementPolicy {
   readonly #engineByGroup = new Map<string, TargetId>();
@@ -117,24 +118,19 @@
  *
  * @param item - an item whose output no engine can go on with now
  * @param fastest - the time between two events at the fastest engine, in milliseconds
- * @param waitedMs - how long the item has waited; infinite if its software version has left
+ * @param waitedMs - how long the item has waited; infinite if no engine has its versions any more
  * @returns undefined if it should rather wait on
  */
 export function createRestart(
-  { group, leastVersion, requiredVersion, avoidedEngines, begun }: WaitingItem,
+  { group, leastVersion, avoidedEngines, begun }: WaitingItem,
   fastest: Millis,
   waitedMs: Millis,
 ): WaitingItem | undefined {
   const msPerEvent = Number.isFinite(fastest) ? fastest : DEFAULT_MS_PER_EVENT;
   const maxWaitMs = Math.min((begun?.events ?? 0) * msPerEvent, MAX_VERSION_WAIT_MS);
   if (waitedMs <= maxWaitMs) return undefined;
-  return {
-    group,
-    leastVersion,
-    requiredVersion: Number.isFinite(waitedMs) ? requiredVersion : undefined,
-    avoidedEngines,
-    begun: undefined,
-  };
+  // Without its output, it may run at any weight version that its submission allows.
+  return { group, leastVersion, requiredVersion: undefined, avoidedEngines, begun: undefined };
 }
 
 /**
--- a/packages/gateway/src/run-tracker.ts
+++ b/packages/gateway/src/run-tracker.ts
@@ -1,13 +1,19 @@
 /** The runs at each engine, and what placement and weight changes need to know of them. */
-import type { ServiceId, SoftwareVersion, TargetId, WeightVersion } from '@hibiscushill/base';
-import { AllowedRegions } from '@hibiscushill/routing';
+import type {
+  ServiceId,
+  SoftwareVersion,
+  TargetId,
+  WeightVersion,
+  ZoneId,
+} from '@hibiscushill/base';
+import { AllowedRegions, type RunNeeds, type SlotGroup, assignSlots } from '@hibiscushill/routing';
 
 import type { ConfigTracker } from './config-tracker';
 import type { TargetRegistration } from './target-directory';
 import type { EngineTracker } from './engine-tracker';
 import type { ItemRun } from './item-run';
 import type { ItemTask } from './item-task';
-import { type EngineView, countFreeSlots } from './engine-view';
+import { type EngineView, countFreeSlots, mayGoOnAt } from './engine-view';
 import { findFastest, isSlow } from './placement';
 import type { ModelId, ServingRoute } from './serving-config';
 import type { TargetLimiter } from './target-limiter';
@@ -101,6 +107,20 @@
     return healthy.length > 0 ? healthy : all;
   }
 
+  /**
+   * Whether any engine has the versions with which an item's output may go on, and keeps them. A
+   * weight version that engines have left doesn't come back.
+   */
+  hasEngineForOutput(task: ItemTask, model: ModelId): boolean {
+    const { requiredVersion } = task;
+    return this.listAllowedEngines(task).some((engine) => {
+      if (!mayGoOnAt(task, engine.software)) return false;
+      if (requiredVersion === undefined) return true;
+      if (this.#engineTracker.isLoading(engine, model)) return false;
+      return this.#engineTracker.versionOf(engine, model) === requiredVersion;
+    });
+  }
+
   /** Creates the view of an engine that the placement of a model's items uses. */
   describeEngine(engine: TargetRegistration, model: ModelId): EngineView {
     const running = this.#runs.get(engine.id)?.size ?? 0;
@@ -128,21 +148,17 @@
     const views = engines.map((engine) => this.describeEngine(engine, model));
     const healthy = views.filter((_, index) => !this.#engineTracker.isBackedOff(engines[index]!));
     const fastest = findFastest(healthy);
-    const freeSlots = new FreeSlots(healthy);
-    const enginesById = new Map(engines.map((engine) => [engine.id, engine]));
+    const zones = new Map(engines.map(({ id, zone }) => [id, zone]));
+    const freeSlots = new FreeSlots(healthy, this.#config.hasAllowedRegions ? zones : undefined);
     return new Map(
       views.map((view, index) => {
         const runs = this.listRuns(view.id, model);
-        const leastVersion = Math.max(1, ...runs.map((run) => run.task.leastVersion));
         const isBackedOff = this.#engineTracker.isBackedOff(engines[index]!);
-        const slots = this.#config.hasAllowedRegions
-          ? new FreeSlots(healthy.filter(({ id }) => this.#mayMoveTo(runs, enginesById.get(id)!)))
-          : freeSlots;
         return [
           view.id,
           {
             running: runs.length,
-            canMoveRuns: runs.length <= slots.countElsewhere(view.id, view.software, leastVersion),
+            canMoveRuns: this.#canMoveAll(runs, [], freeSlots.listElsewhere(view.id)),
             isDegraded: isBackedOff || (view.isSpeedFresh && isSlow(view, fastest)),
           },
         ];
@@ -150,6 +166,51 @@
     );
   }
 
+  /**
+   * Whether all of a model's runs at an engine can go on elsewhere now, beside items that wait with
+   * output for the same slots.
+   */
+  canMoveRuns(engine: TargetRegistration, model: ModelId, waiting: readonly ItemTask[]): boolean {
+    const engines = this.#engineTracker
+      .listUsable(engine.service)
+      .filter((one) => !this.#engineTracker.isBackedOff(one));
+    const views = engines.map((one) => this.describeEngine(one, model));
+    const zones = new Map(engines.map(({ id, zone }) => [id, zone]));
+    const freeSlots = new FreeSlots(views, this.#config.hasAllowedRegions ? zones : undefined);
+    const runs = this.listRuns(engine.id, model);
+    return this.#canMoveAll(runs, waiting, freeSlots.listElsewhere(engine.id));
+  }
+
+  #canMoveAll(
+    runs: readonly ItemRun[],
+    waiting: readonly ItemTask[],
+    slots: readonly SlotGroup[],
+  ): boolean {
+    if (runs.length === 0) return true;
+    // Only engines that suit the strictest run count.
+    const leastVersion = Math.max(1, ...runs.map(({ task }) => task.leastVersion)) as WeightVersion;
+    const waitingItems = waiting.map((task) => ({
+      run: undefined,
+      needs: this.#findNeeds(task, task.begun?.software),
+    }));
+    const leaving = runs.map((run) => ({
+      run,
+      needs: { ...this.#findNeeds(run.task, run.engine.software), leastVersion },
+    }));
+    const placed = assignSlots<ItemRun | undefined>([...waitingItems, ...leaving], slots);
+    return placed.filter(({ run }) => run !== undefined).length === runs.length;
+  }
+
+  /** @param software - the software of the engines that began the item's output */
+  #findNeeds(task: ItemTask, software: SoftwareVersion | undefined): RunNeeds {
+    return {
+      software,
+      leastVersion: task.leastVersion,
+      requiredVersion: task.requiredVersion,
+      regions: this.#config.hasAllowedRegions ? this.findRegions(task) : undefined,
+    };
+  }
+
   /** Lists runs on slow engines for which fast engines of their software have free slots. */
   listMovableRuns(): ItemRun[] {
     const { runs } = this;
@@ -163,67 +224,73 @@
     return [...groups.values()].flatMap((group) => this.#listMovableRunsOfGroup(group));
   }
 
-  /** Whether a run could go on at another engine as far as its regions are concerned. */
-  #mayMoveTo(runs: readonly ItemRun[], engine: TargetRegistration): boolean {
-    const regions = new Set(runs.map(({ task }) => this.findRegions(task)));
-    return [...regions].every((one) => one.allows(engine.zone));
-  }
-
   /** @param runs - runs of one model that may run in the same regions */
-
   #listMovableRunsOfGroup(runs: readonly ItemRun[]): ItemRun[] {
     const [first] = runs;
     if (!first) return [];
-    const views = this.listEngines(first.task).map((engine) =>
-      this.describeEngine(engine, first.model),
-    );
+    const engines = this.listEngines(first.task);
+    const views = engines.map((engine) => this.describeEngine(engine, first.model));
     const fastest = findFastest(views);
-    const slow = views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh);
-    const slowIds = new Set(slow.map((view) => view.id));
-    const fast = views.filter((view) => !slowIds.has(view.id));
-    const softwareVersions = [...new Set(slow.map(({ software }) => software))];
-    return softwareVersions.flatMap((software) => {
-      const freeSlots = fast
-        .filter((view) => view.software === software)
-        .reduce((sum, view) => sum + countUsableSlots(view), 0);
-      return runs
-        .filter(({ engine }) => slowIds.has(engine.id) && engine.software === software)
-        .slice(0, freeSlots);
-    });
+    const slowIds = new Set(
+      views.filter((view) => isSlow(view, fastest) && view.isSpeedFresh).map(({ id }) => id),
+    );
+    if (slowIds.size === 0) return [];
+    const freeSlots = new FreeSlots(views.filter(({ id }) => !slowIds.has(id)));
+    const leaving = runs
+      .filter(({ engine }) => slowIds.has(engine.id))
+      .map((run) => ({
+        run,
+        // The engines are those of the run's regions.
+        needs: { ...this.#findNeeds(run.task, run.engine.software), regions: undefined },
+      }));
+    return assignSlots(leaving, freeSlots.list()).map(({ run }) => run);
   }
 }
 
-/** The free slots of all engines, counted once by software and weight version. */
+/** The free slots of all engines, counted once by what decides which runs may move to them. */
 class FreeSlots {
-  readonly #slotsBySoftware = new Map<SoftwareVersion | undefined, Map<WeightVersion, number>>();
+  readonly #groups = new Map<string, SlotGroup>();
 
   readonly #views = new Map<TargetId, EngineView>();
 
-  constructor(views: readonly EngineView[]) {
+  readonly #zones: ReadonlyMap<TargetId, ZoneId> | undefined;
+
+  /**
+   * @param views - the engines
+   * @param zones - the zones of the engines; undefined if no run depends on them
+   */
+  constructor(views: readonly EngineView[], zones?: ReadonlyMap<TargetId, ZoneId>) {
+    this.#zones = zones;
     views.forEach((view) => {
       this.#views.set(view.id, view);
-      const slots = this.#slotsBySoftware.get(view.software) ?? new Map<WeightVersion, number>();
-      this.#slotsBySoftware.set(view.software, slots);
-      slots.set(view.version, (slots.get(view.version) ?? 0) + countUsableSlots(view));
+      const key = this.#createKey(view);
+      const { software, version } = view;
+      const slots = (this.#groups.get(key)?.slots ?? 0) + countUsableSlots(view);
+      this.#groups.set(key, { software, version, zone: this.#findZone(view), slots });
     });
   }
 
-  /**
-   * Counts the free slots of the other engines that have an engine's software and at least a weight
-   * version.
-   *
-   * @param software - the engine's software
-   */
-  countElsewhere(
-    engine: TargetId,
-    software: SoftwareVersion | undefined,
-    leastVersion: number,
-  ): number {
+  /** Lists the free slots of all engines. */
+  list(): SlotGroup[] {
+    return [...this.#groups.values()];
+  }
+
+  /** Lists the free slots of all engines but one. */
+  listElsewhere(engine: TargetId): SlotGroup[] {
     const own = this.#views.get(engine);
-    const ownSlots = own && own.version >= leastVersion ? countUsableSlots(own) : 0;
-    return [...(this.#slotsBySoftware.get(software) ?? [])]
-      .filter(([version]) => version >= leastVersion)
-      .reduce((sum, [, slots]) => sum + slots, -ownSlots);
+    if (!own) return this.list();
+    const ownKey = this.#createKey(own);
+    return [...this.#groups].map(([key, group]) =>
+      key === ownKey ? { ...group, slots: group.slots - countUsableSlots(own) } : group,
+    );
+  }
+
+  #createKey(view: EngineView): string {
+    return `${view.version} ${view.software ?? ''} ${this.#findZone(view)}`;
+  }
+
+  #findZone({ id }: EngineView): ZoneId {
+    return this.#zones?.get(id) ?? ('' as ZoneId);
   }
 }
 
--- a/packages/gateway/src/submission-runner.ts
+++ b/packages/gateway/src/submission-runner.ts
@@ -11,7 +11,6 @@
 
 import type { ItemSpec } from './caller-port';
 import type { ConfigTracker } from './config-tracker';
-import { mayGoOnAt } from './engine-view';
 import type { TargetRegistration } from './target-directory';
 import { RunTracker, type EngineRunSummary } from './run-tracker';
 import type { EngineTracker } from './engine-tracker';
@@ -126,6 +125,17 @@
     return this.#runTracker.summarizeRuns(service, model);
   }
 
+  /** Counts a model's runs at an engine. */
+  countRuns(engine: TargetId, model: ModelId): number {
+    return this.#runTracker.listRuns(engine, model).length;
+  }
+
+  /** Whether all of a model's runs at an engine can go on at other engines now. */
+  canMoveRuns(engine: TargetRegistration, model: ModelId): boolean {
+    const waiting = [...this.#waiting].filter((task) => task.hasOutput && getModel(task) === model);
+    return this.#runTracker.canMoveRuns(engine, model, waiting);
+  }
+
   /** Ends a model's runs at an engine; their items go on elsewhere from the last event. */
   moveRuns(engine: TargetId, model: ModelId): void {
     this.#runTracker.listRuns(engine, model).forEach((run) => run.cancel());
@@ -332,22 +342,22 @@
     });
   }
 
-  /** How long an item has waited for an engine; infinite if its software version has left. */
+  /** How long an item has waited for an engine; infinite if none has its output's versions. */
   #countWaitMs(task: ItemTask): Millis {
-    const engines = this.#runTracker.listAllowedEngines(task);
-    const isServed = engines.some(({ software }) => mayGoOnAt(task, software));
+    const isServed = this.#runTracker.hasEngineForOutput(task, getModel(task));
     return isServed ? task.countWaitMs(this.#options.clock.mono()) : Infinity;
   }
 
-  /** Discards the output of an item that no engine of its software version can run in time. */
+  /** Discards the output of an item that no engine of its versions can run in time. */
   #beginAgain(task: ItemTask, engine: TargetRegistration): void {
     const { logger, metrics, clock } = this.#options;
     metrics.count('item.begun_again');
-    logger.info('An item begins again at another software version.', {
+    logger.info('An item begins again, since no engine could go on with its output in time.', {
       id: formatItemId(task.submission.terms.id, task.spec.id),
       target: engine.id,
       software: engine.software,
       earlierSoftware: task.output.software,
+      earlierVersions: task.output.versions.join(),
       events: task.output.events.length,
       waitedMs: Math.round(task.countWaitMs(clock.mono())),
     });
--- a/packages/gateway/src/weight-controller.ts
+++ b/packages/gateway/src/weight-controller.ts
@@ -113,7 +113,7 @@
   }
 
   async #applyChange(engine: TargetRegistration, change: WeightChange): Promise<void> {
-    const { clock, engineTracker, runner, logger, metrics } = this.#options;
+    const { clock, engineTracker, logger, metrics } = this.#options;
     const { model, version, mode } = change;
     const after = await this.#findAcceptedOrders(engine);
     if (after === undefined) {
@@ -122,8 +122,8 @@
     }
     if (engineTracker.versionOf(engine, model) >= version) return;
     if (!engineTracker.isUsable(engine)) return;
+    if (!this.#moveRuns(engine, change)) return;
     engineTracker.markLoading(engine, model, LOADING_TIMEOUT_MS);
-    if (change.movesRuns) runner.moveRuns(engine.id, model);
     const outcome = await this.#sendOrder(engine, { model, version, mode, after });
     engineTracker.recordOrders(engine, outcome === 'accepted' ? after + 1 : undefined);
     metrics.count(`weights.order.${outcome}`);
@@ -140,6 +140,30 @@
     if (outcome !== 'accepted' && outcome !== 'holds') await clock.sleep(FAILURE_DELAY_MS);
   }
 
+  /**
+   * Moves an engine's runs to others. The change was planned before the engine reported; since then
+   * other changes may have moved runs to it or taken away the engines to which its runs could move.
+   *
+   * @returns whether the weights can be changed as planned
+   */
+  #moveRuns(engine: TargetRegistration, { model, version, keepsRuns }: WeightChange): boolean {
+    const { runner, logger, metrics } = this.#options;
+    const running = runner.countRuns(engine.id, model);
+    if (running === 0 || keepsRuns) return true;
+    if (runner.canMoveRuns(engine, model)) {
+      runner.moveRuns(engine.id, model);
+      return true;
+    }
+    metrics.count('weights.order.postponed');
+    logger.info('A weight order was postponed, since runs of the engine can go on only there.', {
+      target: engine.id,
+      model,
+      version,
+      running,
+    });
+    return false;
+  }
+
   /**
    * Finds how many orders an engine has accepted, by a report unless the engine limits its requests
    * and the number is known. An engine rejects an order that states a wrong number.
--- a/packages/gateway/src/weight-planner.ts
+++ b/packages/gateway/src/weight-planner.ts
@@ -42,8 +42,11 @@
   readonly model: ModelId;
   readonly version: WeightVersion;
   readonly mode: WeightChangeMode;
-  /** Whether the model's runs there are moved to other engines first. */
-  readonly movesRuns: boolean;
+  /**
+   * Whether the model's runs there go on during the change; otherwise they are moved to other
+   * engines first.
+   */
+  readonly keepsRuns: boolean;
 }
 
 /** A policy for changes of weights. */
@@ -99,17 +102,19 @@
         ({ engine, isUrgent }) =>
           isUrgent || (model.waitingItems === 0 && canLoadWithoutInterrupting(engine)),
       )
-      .map(({ engine, isUrgent }) => ({
-        isUrgent,
-        change: {
-          engine: engine.id,
-          model: model.model,
-          version: model.publishedVersion,
-          mode:
-            !canLoadWithoutInterrupting(engine) && model.allowsMixedVersions ? 'retain' : 'wait',
-          movesRuns: engine.running > 0 && engine.canMoveRuns,
-        },
-      }));
+      .map(({ engine, isUrgent }) => {
+        const keepsRuns = !canLoadWithoutInterrupting(engine);
+        return {
+          isUrgent,
+          change: {
+            engine: engine.id,
+            model: model.model,
+            version: model.publishedVersion,
+            mode: keepsRuns && model.allowsMixedVersions ? 'retain' : 'wait',
+            keepsRuns,
+          },
+        };
+      });
   }
 
   #countFreeLoads(models: readonly ModelState[]): number {
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -135,6 +135,19 @@
     expect(place([item('a', { begun })], left, Infinity)).toEqual(['a@new again']);
   });
 
+  // review/3: an item kept its weight version although no engine could go on with its output.
+  it('begins again at another weight version when its own has no free slot for too long', () => {
+    const views = [
+      engine('full', { running: 2 }),
+      engine('newer', { version: version(4) }),
+      engine('older', { version: version(1) }),
+    ];
+    const single = item('a', { begun, requiredVersion: version(3) });
+    expect(place([single], views, 349)).toEqual([]);
+    expect(place([single], views, 351)).toEqual(['a@newer again']);
+    expect(place([single], views.slice(1), Infinity)).toEqual(['a@newer again']);
+  });
+
   it('leaves the slots to items that fit before any begins again', () => {
     const full = [engine('old', { running: 2 }), engine('new', { software: NEW, slots: 1 })];
     expect(place([item('a', { begun }), item('b')], full, 9_000)).toEqual(['b@new']);
--- a/packages/gateway/test/run-tracker.test.ts
+++ b/packages/gateway/test/run-tracker.test.ts
@@ -125,6 +125,39 @@
   });
 });
 
+describe('runs whose output must not mix weight versions', () => {
+  const SINGLE_VERSION_TASK = { leastVersion: 1, requiredVersion: version(1) };
+
+  /** Creates a slow engine with one run, and a fast one with other weights or the same. */
+  function createRunBesideFast(fastVersion: number): { tracker: RunTracker; run: ItemRun } {
+    const cases = [1, fastVersion].map((number, index) => ({
+      slots: 4,
+      version: number,
+      software: undefined,
+      isLoading: false,
+      isBackedOff: false,
+      msPerEvent: index === 0 ? 140 : 20,
+      runs: [],
+    }));
+    const tracker = createRunTracker(cases);
+    const engine = createTarget('e0', { slots: 4, software: undefined });
+    const run = { engine, model: MODEL, task: SINGLE_VERSION_TASK } as unknown as ItemRun;
+    tracker.add(run);
+    return { tracker, run };
+  }
+
+  it('are moved to engines with the same weights', () => {
+    const { tracker, run } = createRunBesideFast(1);
+    expect(tracker.summarizeRuns(SERVICE, MODEL).get(run.engine.id)?.canMoveRuns).toBe(true);
+  });
+
+  // review/3: free slots of engines with newer weights counted as a place for them.
+  it('are not moved off the last engine with their weights', () => {
+    const { tracker, run } = createRunBesideFast(2);
+    expect(tracker.summarizeRuns(SERVICE, MODEL).get(run.engine.id)?.canMoveRuns).toBe(false);
+  });
+});
+
 describe('runs that may not run in all regions', () => {
   const ZONES = ['zone-eu', 'zone-us'] as [ZoneId, ZoneId];
   const zoneRegions = new Map([
@@ -153,6 +186,14 @@
     return { tracker, run };
   }
 
+  it('are not moved to fast engines with other weights than their output may go on with', () => {
+    const { tracker, run } = createSlowRun(ZONES[0]);
+    tracker.remove(run);
+    const task = { ...run.task, requiredVersion: version(2) };
+    tracker.add({ ...run, task } as unknown as ItemRun);
+    expect(tracker.listMovableRuns()).toEqual([]);
+  });
+
   it('are moved to fast engines in their regions', () => {
     const { tracker, run } = createSlowRun(ZONES[0]);
     expect(tracker.listMovableRuns()).toEqual([run]);
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -1,4 +1,5 @@
 import {
+  type InstanceId,
   ManualClock,
   type MonoTime,
   type Offset,
@@ -8,14 +9,18 @@
   type TargetId,
   type TeamId,
   type WallTime,
+  type WeightVersion,
   type ZoneId,
 } from '@hibiscushill/base';
 import { MemoryLog, type NewRecord } from '@hibiscushill/log';
+import type { FencedSender } from '@hibiscushill/control';
+import { okAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import type { ItemSpec } from '../src/caller-port';
 import { ConfigTracker } from '../src/config-tracker';
-import { TargetDirectory } from '../src/target-directory';
+import { EngineControl, type WeightOrder } from '../src/control-port';
+import { TargetDirectory, type TargetRegistration } from '../src/target-directory';
 import { EngineTracker } from '../src/engine-tracker';
 import { ItemLoader } from '../src/item-loader';
 import type { ItemTask } from '../src/item-task';
@@ -36,10 +41,14 @@
 } from '../src/submission-records';
 import { LongestFirstOrder } from '../src/item-order';
 import { SubmissionRunner } from '../src/submission-runner';
+import { WeightController } from '../src/weight-controller';
+import { PartitionedWeightPlanner } from '../src/weight-planner';
 import {
   MODEL,
   SERVICE,
   ManualClient,
+  type RecordedCall,
+  advance,
   createConfig,
   createItem,
   createLimiter,
@@ -337,6 +346,106 @@
   });
 });
 
+/** Engines that carry out an order until their next report. */
+class FakeEngineControl extends EngineControl {
+  readonly orders: string[] = [];
+
+  readonly #versions = new Map<TargetId, WeightVersion>();
+
+  override report({ id }: TargetRegistration): ReturnType<EngineControl['report']> {
+    const versions = new Map([[MODEL, this.#versions.get(id) ?? version(1)]]);
+    return okAsync({ versions, isBusy: false, orders: 0 });
+  }
+
+  override order(
+    { id }: TargetRegistration,
+    { version: ordered }: WeightOrder,
+  ): ReturnType<EngineControl['order']> {
+    this.orders.push(id);
+    this.#versions.set(id, ordered);
+    return okAsync('accepted');
+  }
+}
+
+describe('items of a single-version route while weights change', () => {
+  const ENGINES = ['e1', 'e2', 'e3'];
+  // Long enough for an engine to load weights, and for others to follow.
+  const LOAD_MS = 4_000;
+  const STEP_MS = 100;
+
+  function createController(engineControl: EngineControl): WeightController {
+    const send = (write: (fencing: number, guard: object) => unknown): unknown =>
+      write(1, { deadlineMs: 1_000, mayWrite: () => true });
+    return new WeightController({
+      clock,
+      metrics: createMetrics(),
+      logger,
+      config,
+      submissions,
+      engineTracker,
+      runner,
+      engineControl,
+      limiter: createLimiter(clock),
+      sender: { send } as unknown as FencedSender,
+      holder: 'process-a' as InstanceId,
+      planner: new PartitionedWeightPlanner(),
+    });
+  }
+
+  beforeEach(() => {
+    confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
+    ENGINES.forEach((id) => directory.recordRegistration(createTarget(id, { slots: 4 })));
+    runner.start();
+  });
+
+  // review/3: their runs were moved off the last engine with their weights, and then sent nowhere.
+  it('always run at an engine with their weights', async () => {
+    const items = ENGINES.flatMap((_, group) =>
+      [1, 2, 3].map((n) => createItem(`i${group}.${n}`, { group: `g${group}` })),
+    );
+    await submit(items);
+    const ended = client.openCalls.filter(({ call }) => call.target.id === 'e3');
+    const listRunning = (): RecordedCall[] =>
+      client.openCalls.filter((call) => !ended.includes(call));
+    const listRunningVersions = (): Set<number> =>
+      new Set(listRunning().map(({ call }) => engineTracker.versionOf(call.target, MODEL)));
+    const pushEvent = (event: number): void =>
+      listRunning().forEach((call) => call.stream(event, ['a']));
+    client.openCalls.forEach((call) => call.stream(1, ['a']));
+    ended.forEach((call) => call.sink.onEnd());
+    await readLog();
+    const engineControl = new FakeEngineControl();
+    const controller = createController(engineControl);
+    config.recordPublishedVersion(MODEL, version(2));
+    for (let event = 2; event < 2 + LOAD_MS / STEP_MS; event += 1) {
+      controller.reconcile();
+      await advance(clock, STEP_MS, STEP_MS);
+      expect(listRunning()).toHaveLength(6);
+      expect(listRunningVersions()).toEqual(new Set([1]));
+      pushEvent(event);
+    }
+    expect(engineControl.orders.length).toBeGreaterThan(0);
+    listRunning().forEach((call) => call.sink.onEnd());
+    await readLog();
+    expect(submissions.find(ID)?.results).toHaveLength(items.length);
+  });
+
+  // The same when the last engine is lost or has loaded other weights already.
+  it('begin again at once when no engine has their weights any more', async () => {
+    await submit([createItem('i1')]);
+    const [first] = client.openCalls;
+    first?.stream(1, ['a', 'b']);
+    ENGINES.map((id) => createTarget(id)).forEach((engine) =>
+      engineTracker.recordVersion(engine, MODEL, version(2)),
+    );
+    first?.fail({ run: 'may-have-run', reason: 'reset' });
+    await runPendingCallbacks();
+    const [again] = client.openCalls.slice(-1);
+    expect(again?.call).toMatchObject({ id: 'i1', expectVersion: 2 });
+    expect(again?.call.resumeAfter).toBeUndefined();
+  });
+});
+
 describe('the submission runner of a process that has not read the newest configuration', () => {
   async function placeItems(): Promise<void> {
     runner.schedule();
--- a/packages/gateway/test/weight-planner.test.ts
+++ b/packages/gateway/test/weight-planner.test.ts
@@ -59,7 +59,7 @@
   it('moves runs to other engines that have free slots', () => {
     const engines = [engine('x', 3, { running: 2, canMoveRuns: true })];
     const [change] = new PartitionedWeightPlanner().plan([model('a', 4, engines)]);
-    expect(change).toMatchObject({ engine: 'x', mode: 'wait', movesRuns: true });
+    expect(change).toMatchObject({ engine: 'x', mode: 'wait', keepsRuns: false });
   });
 
   it('replaces a slow or failing engine with another', () => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -83,5 +83,8 @@
   TrialClaim,
 } from './suspect-requests';
 
+export { assignSlots } from './run-moves';
+export type { LeavingRun, RunNeeds, SlotGroup } from './run-moves';
+
 export { AdaptivePace, PacePolicy } from './target-pace';
 export type { AdaptivePaceOptions, PacedResponse } from './target-pace';
