Finish the requests that a process takes after its signal to stop

Cause: the process waited once for the requests that were open right after the signal. Later ones got fixed times of 1.5 s each, and submissions, reads of results and of bodies were not waited for at all; the logs that serve requests were no longer read meanwhile.

What is left at the end gets outcome_unknown.

--- a/packages/gateway/src/control-tasks.ts
+++ b/packages/gateway/src/control-tasks.ts
@@ -174,6 +174,11 @@
     this.#runner.stop();
   }
 
+  /** Resolves when the log has taken the counts of all requests. */
+  flushUsage(): Promise<void> {
+    return this.#usageTracker.flush();
+  }
+
   /** Gives up what the log hasn't taken; called once no further requests are served. */
   close(): void {
     this.#writer.stop();
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -132,6 +132,8 @@
 const DRAIN_GRACE_FRACTION = 0.6;
 // The fraction of the shutdown time after which what the log hasn't taken is given up.
 const STOP_GRACE_FRACTION = 0.8;
+// How long shutdown waits for the counts of the last requests to be written.
+const USAGE_FLUSH_TIMEOUT_MS = 300;
 // How long shutdown waits for reads of the log to end.
 const TAIL_STOP_TIMEOUT_MS = 500;
 const CLEANUP_INTERVAL_MS = 5_000;
@@ -337,19 +339,38 @@
     this.#logger.info('The gateway process started.', { instance, incarnation, zone });
   }
 
-  /** Releases the duty, finishes open requests and items, and stops reading the logs. */
-  async stop(): Promise<void> {
-    const { bounds, clock } = this.#options;
+  /**
+   * Releases the duty and finishes running items. Requests are served as before, as far as they can
+   * end in time.
+   *
+   * @returns when requests that are still open have to be cut off, and a promise that resolves when
+   *   no item runs any more
+   */
+  stop(): { readonly servesUntil: MonoTime; readonly finished: Promise<void> } {
     this.#logger.info('The gateway process is stopping.', {
       openItems: this.#controlTasks.openItems,
     });
-    this.gateway.stop();
+    const servesUntil = this.gateway.stop(this.#options.bounds.graceMs);
+    return { servesUntil, finished: this.#handOver() };
+  }
+
+  async #handOver(): Promise<void> {
+    const { bounds, clock } = this.#options;
     const drainMs = bounds.graceMs * DRAIN_GRACE_FRACTION;
     const endsAt = (clock.mono() + bounds.graceMs * STOP_GRACE_FRACTION) as MonoTime;
     await this.#controlTasks.announceHandover(drainMs);
     await this.#duty.release();
     await this.#controlTasks.finish(drainMs, endsAt);
-    await this.gateway.waitForRequests();
+  }
+
+  /**
+   * Stops reading the logs, which requests need to be served, and gives up what the log hasn't taken;
+   * called after `stop`, once no further requests come.
+   */
+  async close(): Promise<void> {
+    const { clock } = this.#options;
+    await Promise.race([this.#controlTasks.flushUsage(), clock.sleep(USAGE_FLUSH_TIMEOUT_MS)]);
+    this.#controlTasks.close();
     this.#timers.forEach((timer) => clearInterval(timer));
     await Promise.all(
       [this.#configTail, this.#targetTail, this.#dutyTail, this.#submissionTail].map((tail) =>
@@ -359,11 +380,6 @@
     this.#logger.info('Shutdown of the gateway process is complete.');
   }
 
-  /** Gives up what the log hasn't taken; called after `stop`, once no further requests come. */
-  close(): void {
-    this.#controlTasks.close();
-  }
-
   #createKeyedTail(log: KeyedLog, reader: KeyedRecordHandler): KeyedTail {
     const { clock, random, metrics } = this.#options;
     return new KeyedTail({ log, clock, random, metrics }, reader);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
   RandomSource,
   TeamId,
 } from '@hibiscushill/base';
-import { type AllowedRegions, jitterRetryAfter } from '@hibiscushill/routing';
+import { type AllowedRegions, ShutdownSchedule, jitterRetryAfter } from '@hibiscushill/routing';
 
 import {
   CallerHandler,
@@ -41,6 +41,11 @@
   readonly submissionService: SubmissionService;
 }
 
+// Targets may have been running it.
+const CUT_OFF_ANSWER = createGatewayAnswer('outcome_unknown', 'The process has stopped.', {
+  run: 'may-have-run',
+});
+
 /** What refusals for good tell their callers, by code. */
 const DENIALS = {
   route_unknown: 'No route matches the host and path.',
@@ -58,9 +63,10 @@
 export class Gateway extends CallerHandler {
   readonly #options: GatewayOptions;
 
-  readonly #openRequests = new Set<Promise<void>>();
+  /** What ends each open request that isn't part of a submission. */
+  readonly #openRequests = new Set<AbortController>();
 
-  #isStopping = false;
+  #shutdown: ShutdownSchedule | undefined;
 
   /** @param options - the configuration, the forwarder and the submissions */
   constructor(options: GatewayOptions) {
@@ -69,17 +75,28 @@
   }
 
   override get isReady(): boolean {
-    return !this.#isStopping && this.#options.config.isReady;
+    return !this.#shutdown && this.#options.config.isReady;
   }
 
-  /** Makes `isReady` false, so that load balancers send no more; late requests are still served. */
-  stop(): void {
-    this.#isStopping = true;
+  /**
+   * Makes `isReady` false, so that load balancers send no more. Requests that can end in time are
+   * still served.
+   *
+   * @param graceMs - how long the process may take to stop, in milliseconds
+   * @returns when open requests have to be cut off
+   */
+  stop(graceMs: Millis): MonoTime {
+    this.#shutdown ??= new ShutdownSchedule(this.#options.clock.mono(), graceMs);
+    return this.#shutdown.servesUntil;
   }
 
-  /** Resolves when all open requests have ended. */
-  async waitForRequests(): Promise<void> {
-    await Promise.allSettled([...this.#openRequests]);
+  /** Ends all open requests: their callers are told that they may have run. */
+  cutOff(): void {
+    if (this.#openRequests.size === 0) return;
+    this.#options.logger.warn('Open requests were cut off at shutdown.', {
+      requests: this.#openRequests.size,
+    });
+    this.#openRequests.forEach((request) => request.abort());
   }
 
   override isSubmission(method: string, host: string, path: string): boolean {
@@ -88,15 +105,16 @@
   }
 
   override onRequest(req: CallerRequest, reply: CallerReply): void {
-    const task = this.#serve(req, reply).catch((error: unknown) => {
+    const stop = new AbortController();
+    this.#openRequests.add(stop);
+    const task = this.#serve(req, reply, stop).catch((error: unknown) => {
       this.#options.logger.error('A request failed with an unexpected error.', {
         id: req.id,
         error: String(error),
       });
       reply.refuse(createGatewayAnswer('internal', String(error), { run: 'may-have-run' }));
     });
-    this.#openRequests.add(task);
-    void task.finally(() => this.#openRequests.delete(task));
+    void task.finally(() => this.#openRequests.delete(stop));
   }
 
   override async submit(req: CallerRequest, spec: SubmissionSpec): Promise<Outcome<void>> {
@@ -104,6 +122,9 @@
     if (!route.isOk) return this.#createRefusedOutcome(req, route.answer);
     const access = this.#authenticate(route.value, req.key);
     if (!access.isOk) return this.#createRefusedOutcome(req, access.answer);
+    if (!this.#takes(computeEnd(req, route.value))) {
+      return this.#createRefusedOutcome(req, this.#createStoppingRefusal());
+    }
     const outcome = await this.#options.submissionService.submit(
       req,
       spec,
@@ -120,7 +141,10 @@
   ): Promise<Outcome<ResultPage>> {
     const access = this.#authenticate(undefined, call.key);
     if (!access.isOk) return access;
-    return this.#options.submissionService.readResults(call, access.value.team, after, waitMs);
+    const { clock, submissionService } = this.#options;
+    const leftMs = (this.#shutdown?.servesUntil ?? Infinity) - clock.mono();
+    const maxWaitMs = Math.max(0, Math.min(waitMs, leftMs));
+    return submissionService.readResults(call, access.value.team, after, maxWaitMs);
   }
 
   override async readBody(call: SubmissionCall, item: ItemId): Promise<Outcome<Uint8Array>> {
@@ -135,7 +159,7 @@
     return this.#options.submissionService.end(call, access.value.team);
   }
 
-  async #serve(req: CallerRequest, reply: CallerReply): Promise<void> {
+  async #serve(req: CallerRequest, reply: CallerReply, stop: AbortController): Promise<void> {
     const route = this.#findRoute(req);
     const access = route.isOk ? this.#authenticate(route.value, req.key) : route;
     if (!route.isOk || !access.isOk) {
@@ -143,8 +167,12 @@
       if (answer) this.#refuse(req, reply, answer);
       return;
     }
-    const disconnected = new AbortController();
-    reply.onDisconnected(() => disconnected.abort());
+    const endsAt = computeEnd(req, route.value);
+    if (!this.#takes(endsAt)) {
+      this.#refuse(req, reply, this.#createStoppingRefusal());
+      return;
+    }
+    reply.onDisconnected(() => stop.abort());
     if (reply.isDisconnected) return;
     const result = await this.#options.forwarder.forward({
       id: req.id,
@@ -155,14 +183,14 @@
       host: req.host,
       headers: req.headers,
       body: req.body,
-      endsAt: computeEnd(req, route.value),
+      endsAt,
       ...(req.resumeAfter !== undefined && { resumeAfter: req.resumeAfter }),
       ...(req.resumes !== undefined && { resumes: req.resumes }),
       findRegions: () => this.#findRegions(req, route.value, access.value.team),
       mayRun: () => this.#isStillAuthorized(route.value, access.value),
-      signal: disconnected.signal,
+      signal: stop.signal,
     });
-    await this.#finish(req, reply, result);
+    await this.#finish(req, reply, result, stop.signal);
   }
 
   #findRegions(
@@ -174,13 +202,22 @@
     return config.findRegions(config.current?.findRoute(host, path) ?? route, team);
   }
 
-  async #finish(req: CallerRequest, reply: CallerReply, result: ForwardResult): Promise<void> {
+  async #finish(
+    req: CallerRequest,
+    reply: CallerReply,
+    result: ForwardResult,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { clock, metrics, logger } = this.#options;
     const tookMs = clock.mono() - req.receivedAt;
     if (result.type === 'refused') {
       this.#refuse(req, reply, result.answer);
       return;
     }
+    if (result.type === 'cancelled' && !reply.isDisconnected) {
+      this.#refuse(req, reply, CUT_OFF_ANSWER);
+      return;
+    }
     metrics.count(`request.${result.type}`);
     metrics.time('request', tookMs);
     if (result.type === 'cancelled') {
@@ -202,19 +239,26 @@
       configVersion: this.#options.config.current?.version,
     });
     if (result.type === 'answered') reply.sendResponse(result.head, result.body);
-    else await this.#stream(req, reply, result);
+    else await this.#stream(req, reply, result, signal);
   }
 
   #stream(
     req: CallerRequest,
     reply: CallerReply,
     { attempt }: Extract<ForwardResult, { type: 'streaming' }>,
+    signal: AbortSignal,
   ): Promise<void> {
     return new Promise((resolve) => {
-      reply.onDisconnected(() => {
+      const stop = (): void => {
         attempt.cancel();
+        if (!reply.isDisconnected) reply.abort();
         resolve();
-      });
+      };
+      if (signal.aborted) {
+        stop();
+        return;
+      }
+      signal.addEventListener('abort', stop, { once: true });
       attempt.relayTo(reply, (reason) => {
         if (reason !== undefined) {
           this.#options.logger.info('A stream ended before it was complete.', {
@@ -227,6 +271,11 @@
     });
   }
 
+  /** Whether a request that ends at a time is served; all are unless the process is stopping. */
+  #takes(endsAt: MonoTime): boolean {
+    return this.#shutdown?.takes(this.#options.clock.mono(), endsAt) ?? true;
+  }
+
   #findRoute(req: CallerRequest): Outcome<ServingRoute> {
     const { current } = this.#options.config;
     if (!current)
@@ -284,7 +333,14 @@
     return config.canTrustKeys && config.current?.findTeam(key)?.name === team && !route.isPublic;
   }
 
-  #createUnreadyRefusal(code: 'not_ready' | 'config_stale', detail: string): GatewayAnswer {
+  #createStoppingRefusal(): GatewayAnswer {
+    return this.#createUnreadyRefusal('shutting_down', 'The request may last too long.');
+  }
+
+  #createUnreadyRefusal(
+    code: 'not_ready' | 'config_stale' | 'shutting_down',
+    detail: string,
+  ): GatewayAnswer {
     const retryAfterMs = jitterRetryAfter(OTHER_PROCESS_RETRY_MS, this.#options.random);
     return createGatewayAnswer(code, detail, { retryAfterMs });
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -89,5 +89,7 @@
 export { chooseServiceAtRandom, chooseServiceForKey, listServing } from './service-split';
 export type { CanServe, SplitService } from './service-split';
 
+export { ShutdownSchedule } from './shutdown-schedule';
+
 export { AdaptivePace, PacePolicy } from './target-pace';
 export type { AdaptivePaceOptions, PacedResponse } from './target-pace';
