Use no address of the target list to which no connection can be opened

Seen here, over sockets: with a port out of range, or an address that is none, requests were answered with 500 (4 of 30 tests failed). No other kind of entry had an effect, and no program ended.

Cause: any digits, dots and a colon counted as an address, and opening a connection there threw an exception, which neither requests nor items expect.

--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 
 import { type Clock, type Metrics, type Millis, onConnectionReset } from '@hibiscushill/base';
+import { type Result, err, ok } from 'neverthrow';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
 import type { ResponseFlow } from './target-port';
@@ -63,6 +64,18 @@
 const KEEP_ALIVE_MARGIN_MS = 300;
 const MAX_HEADER_BYTES = 65_536;
 
+/** Reports a request that can't be sent, once its sender has got the function that ends it. */
+function failLater(sink: ExchangeSink, reason: string): AbortExchange {
+  let isReported = false;
+  const report = (text: string): void => {
+    if (isReported) return;
+    isReported = true;
+    sink.onError({ wasSent: false, reason: text });
+  };
+  queueMicrotask(() => report(reason));
+  return () => report('aborted');
+}
+
 /** Holds back the data of a socket, whose buffer then fills up, so that its peer has to wait. */
 class ReadGate implements ResponseFlow {
   readonly #socket: Socket;
@@ -117,7 +130,9 @@
    * @returns a function that ends the exchange early, with an error to the sink
    */
   send(req: ExchangeRequest, sink: ExchangeSink): AbortExchange {
-    const connection = this.#acquire(req);
+    const acquired = this.#tryAcquire(req);
+    if (acquired.isErr()) return failLater(sink, acquired.error);
+    const connection = acquired.value;
     const handler = new ExchangeHandler(connection, sink, (isReusable) => {
       if (isReusable && (req.mayKeep?.() ?? true)) this.#release(req.address, connection);
       else connection.client.destroy().catch(() => undefined);
@@ -156,6 +171,15 @@
     return this.#idleByAddress.size;
   }
 
+  /** Fails for an address to which no connection can be opened. */
+  #tryAcquire(req: ExchangeRequest): Result<PooledConnection, string> {
+    try {
+      return ok(this.#acquire(req));
+    } catch (error) {
+      return err(`the address ${req.address} can't be used: ${String(error)}`);
+    }
+  }
+
   #acquire({ address, isFresh }: ExchangeRequest): PooledConnection {
     const connections = isFresh ? [] : (this.#idleByAddress.get(address) ?? []);
     const pooled = connections.pop();
--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -60,6 +60,17 @@
   });
 });
 
+describe('a request to an address that is none', () => {
+  // Issue 52: an entry of another writer in the list of targets.
+  it.each(['127.0.0.1:99999', '10.128.0.300:8080'])('fails without being sent: %s', async (to) => {
+    const sink = new RecordingSink();
+    const abort = exchanger.send({ address: to, method: 'GET', path: '/', headers: [] }, sink);
+    await expect.poll(() => sink.errors).toMatchObject([{ wasSent: false }]);
+    abort();
+    expect(sink.errors).toHaveLength(1);
+  });
+});
+
 describe('a request that cannot be written', () => {
   const headers = ['X-Bad', 'one\ntwo'];
 
--- a/packages/log/src/keyed-tail.ts
+++ b/packages/log/src/keyed-tail.ts
@@ -63,7 +63,7 @@
 
   /**
    * @param options - the log and the timing of reads
-   * @param handler - receives the records; it must not throw
+   * @param handler - receives the records; what it throws is logged, and reading goes on
    */
   constructor(options: KeyedTailOptions, handler: KeyedRecordHandler) {
     this.#options = options;
@@ -115,7 +115,7 @@
     const sentAt = this.#options.clock.mono();
     const snapshot = await this.#options.log.readSnapshot();
     if (snapshot.isErr()) return snapshot.error;
-    this.#handler.onSnapshot(snapshot.value.records);
+    this.#deliver(() => this.#handler.onSnapshot(snapshot.value.records));
     this.#next = snapshot.value.end;
     this.#caughtUpAt = sentAt;
     return undefined;
@@ -127,12 +127,24 @@
     const { signal } = this.#stopping;
     const page = await log.read(from, { waitMs, timeoutMs, signal });
     if (page.isErr()) return page.error;
-    page.value.records.forEach((record) => this.#handler.onRecord(record));
+    page.value.records.forEach((record) =>
+      this.#deliver(() => this.#handler.onRecord(record), record.key),
+    );
     this.#next = page.value.next;
     if (page.value.next >= page.value.end) this.#caughtUpAt = sentAt;
     return undefined;
   }
 
+  /** Passes records on. A record that its handler can't take must not end the reading of others. */
+  #deliver(handle: () => void, key?: string): void {
+    try {
+      handle();
+    } catch (error) {
+      this.#options.metrics?.count('log.handler_failed');
+      this.#logger.error('A handler of records threw an error.', { key, error: String(error) });
+    }
+  }
+
   async #handleFailure(failure: Failure): Promise<void> {
     if (this.#stopping.signal.aborted) return;
     this.#options.metrics?.countRetry(failure.code);
