Place overdue items of split routes until no service has room for them

Items that had waited for 1 s each chose another service with room, several of them the same one, while a third service stayed idle until the next placement.

--- a/packages/gateway/src/item-placer.ts
+++ b/packages/gateway/src/item-placer.ts
@@ -45,8 +45,19 @@
     const { order, runTracker, isWaiting } = this.#options;
     const parts = order.sortInParts(tasks);
     parts.forEach((part) => this.#placeAt(part, (task) => runTracker.services.find(task)));
-    const overdue = parts.flat().filter((task) => isWaiting(task) && this.#isOverdue(task));
-    if (overdue.length > 0) this.#placeAt(overdue, this.#createFinderOfOthers());
+    this.#placeOverdue(parts.flat().filter((task) => isWaiting(task) && this.#isOverdue(task)));
+  }
+
+  /** Places items at other services than their own, until none of these has room for any of them. */
+  #placeOverdue(tasks: readonly ItemTask[]): void {
+    let waiting = tasks;
+    let placed = tasks.length;
+    while (placed > 0 && waiting.length > 0) {
+      this.#placeAt(waiting, this.#createFinderOfOthers());
+      const left = waiting.filter((task) => this.#options.isWaiting(task));
+      placed = waiting.length - left.length;
+      waiting = left;
+    }
   }
 
   #isOverdue(task: ItemTask): boolean {
