Leave engines out that keep refusing items as meant for another target

Seen with an entry of the list whose address belongs to another engine: items were sent there again and again (421), since the engine looked idle, and none of eight was complete after 15 s, though another engine was free.

Cause: a refusal as misdirected counted as one of another weight version, which says nothing about the engine. Now three in a row, at least 100 ms apart, of an engine whose weights are the expected ones leave it out like a failure. The test of submission-runner.test.ts failed before.

--- a/packages/gateway/src/engine-tracker.ts
+++ b/packages/gateway/src/engine-tracker.ts
@@ -30,6 +30,9 @@
   consecutiveFailures: number;
   /** When the last broken run was counted. */
   brokenAt: MonoTime;
+  /** Refusals in a row to run what is expected of the engine, and when the last was counted. */
+  misdirected: number;
+  misdirectedAt: MonoTime;
 }
 
 // The weight of the newest sample in the moving average of an engine's speed.
@@ -41,6 +44,8 @@
 const BACKOFF_MAX_MS = 4_000;
 // All connections that one event breaks are seen to be broken within this time.
 const SAME_EVENT_MS = 100;
+// A version that the engine has just changed explains fewer refusals.
+const MAX_MISDIRECTED = 3;
 // States of engines that are no longer registered are removed once the states have doubled since the
 // last time, so that this costs little for each new engine. Below this many they aren't removed.
 const MIN_STATES_TO_CLEAN = 64;
@@ -103,6 +108,20 @@
     this.#getState(engine).versions.set(model, version);
   }
 
+  /**
+   * Records that an engine refused a run as meant for another one, although its weights are those
+   * that were expected. After several in a row its address belongs to another target, and it is left
+   * out like an engine that failed.
+   */
+  recordMisdirected(engine: TargetRegistration): void {
+    const state = this.#getState(engine);
+    const now = this.#clock.mono();
+    if (now - state.misdirectedAt < SAME_EVENT_MS) return;
+    state.misdirectedAt = now;
+    state.misdirected += 1;
+    if (state.misdirected >= MAX_MISDIRECTED) this.recordFailure(engine);
+  }
+
   /** How many weight orders an engine has accepted; undefined if that isn't known. */
   ordersOf(engine: TargetRegistration): number | undefined {
     return this.#getState(engine).orders;
@@ -193,7 +212,9 @@
 
   /** Records a run that completed. */
   recordSuccess(engine: TargetRegistration): void {
-    this.#getState(engine).consecutiveFailures = 0;
+    const state = this.#getState(engine);
+    state.consecutiveFailures = 0;
+    state.misdirected = 0;
   }
 
   /**
@@ -231,6 +252,8 @@
       backoffUntil: -Infinity as MonoTime,
       consecutiveFailures: 0,
       brokenAt: -Infinity as MonoTime,
+      misdirected: 0,
+      misdirectedAt: -Infinity as MonoTime,
     };
     this.#states.set(engine.id, state);
     this.#speeds.forget(engine.id);
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -145,6 +145,11 @@
       this.#options.engineTracker.recordVersion(this.engine, this.model, head.version);
     }
     if (head.status < 300) return;
+    const { expectVersion } = this.#options.call;
+    const isOtherVersion = head.version !== undefined && head.version !== expectVersion;
+    if (head.status === STATUS_MISDIRECTED && !isOtherVersion) {
+      this.#options.engineTracker.recordMisdirected(this.engine);
+    }
     const outcome = classifyErrorStatus(head);
     this.#end(outcome, `status ${head.status}`);
   }
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -284,6 +284,22 @@
     expect(client.openCalls[0]?.call.resumeAfter).toBe(7);
   });
 
+  // Found with issue 52: an entry of the list whose address belongs to another target held up items.
+  it('leaves an engine out that keeps refusing items as meant for another one', async () => {
+    ['e1', 'e2'].forEach((id) => directory.recordRegistration(createTarget(id)));
+    runner.start();
+    await submit([createItem('i1')]);
+    const first = client.openCalls[0]?.call.target.id;
+    for (let refused = 0; refused < 10 && runningAt(first!).length > 0; refused += 1) {
+      client.openCalls[0]?.respond('', { status: 421, hasNotRun: true });
+      clock.advance(120);
+      runner.schedule();
+      await runPendingCallbacks();
+    }
+    expect(runningAt(first!)).toEqual([]);
+    expect(client.openCalls).toHaveLength(1);
+  });
+
   it('does not start an item that a process that is shutting down still runs', async () => {
     directory.recordRegistration(createTarget('e1'));
     await submit([createItem('i1'), createItem('i2')]);
