Count only responses that name their request and bring a receipt as answers

Callers' streams are never continued within one response.

Change: judgeAnswer in packages/routing decides for requests, streams, scoring calls and items; a response of no or another request closes its connection, and neither it nor an unproven success answers the request, which may have run. Reports don't take answers that name a request.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to run a request at one target. */
 import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
-import type { TargetOutcome } from '@hibiscushill/routing';
+import { type TargetOutcome, describeMismatch, judgeAnswer } from '@hibiscushill/routing';
 
 import type { CallerReply } from './caller-port';
 import {
@@ -158,11 +158,11 @@
   override onHead(head: TargetResponseHead, flow?: ResponseFlow): void {
     const { target, id } = this.call;
     if (this.#hasEnded) return;
-    if (head.echo !== undefined && head.echo !== id) {
-      // A late response to an earlier request on the same connection.
+    const kind = judgeAnswer(head, id);
+    if (kind !== 'own') {
       this.#finish('unknown', 'failed');
       this.#abort();
-      this.#resolve({ type: 'lost', reason: 'the response belongs to another request' });
+      this.#resolve({ type: 'lost', reason: describeMismatch(head, kind) });
       return;
     }
     this.#head = head;
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -1,6 +1,8 @@
 /** One run of an item: a streamed generation request at one engine. */
 import type { Clock, Logger, Millis, MonoTime, RequestId, WeightVersion } from '@hibiscushill/base';
 
+import { describeMismatch, judgeAnswer } from '@hibiscushill/routing';
+
 import type { TargetRegistration } from './target-directory';
 import type { EngineTracker } from './engine-tracker';
 import type { ItemTask } from './item-task';
@@ -130,8 +132,9 @@
 
   override onHead(head: TargetResponseHead): void {
     if (this.#hasEnded) return;
-    if (head.echo !== undefined && head.echo !== this.#options.call.id) {
-      this.#end('broken', 'the response belongs to another request');
+    const kind = judgeAnswer(head, this.#options.call.id);
+    if (kind !== 'own') {
+      this.#end('broken', describeMismatch(head, kind));
       return;
     }
     this.#head = head;
@@ -144,7 +147,10 @@
     if (head.version !== undefined) {
       this.#options.engineTracker.recordVersion(this.engine, this.model, head.version);
     }
-    if (head.status < 300) return;
+    if (head.status < 300) {
+      if (!head.isEventStream) this.#end('broken', 'the response is not an event stream');
+      return;
+    }
     const { expectVersion } = this.#options.call;
     const isOtherVersion = head.version !== undefined && head.version !== expectVersion;
     if (head.status === STATUS_MISDIRECTED && !isOtherVersion) {
@@ -169,7 +175,7 @@
 
   override onEnd(): void {
     if (this.#hasEnded) return;
-    const isComplete = this.#head?.isEventStream === true && this.task.hasOutput;
+    const isComplete = this.#head !== undefined && this.task.hasOutput;
     this.#end(
       isComplete ? 'complete' : 'broken',
       isComplete ? undefined : 'the response is not a complete event stream',
@@ -267,8 +273,6 @@
 function classifyErrorStatus(head: TargetResponseHead): RunOutcome {
   if (head.status === STATUS_MISDIRECTED) return 'wrong-version';
   if (head.hasNotRun) return 'refused';
-  // A failure that names no request may be another one's, so it doesn't count against the item.
-  if (head.echo === undefined) return 'broken';
   if (head.status === STATUS_UNPROCESSABLE) return 'impossible';
   return head.status === STATUS_SERVER_ERROR ? 'server-error' : 'broken';
 }
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -41,6 +41,7 @@
   createHandoverRecord,
 } from '../src/submission-records';
 import { LongestFirstOrder } from '../src/item-order';
+import type { TargetResponseHead } from '../src/target-port';
 import { SubmissionRunner } from '../src/submission-runner';
 import { WeightController } from '../src/weight-controller';
 import { PartitionedWeightPlanner } from '../src/weight-planner';
@@ -284,6 +285,44 @@
     expect(client.openCalls[0]?.call.resumeAfter).toBe(7);
   });
 
+  // Issue 52: a stream broke off, and what the next target answered stood in the middle of it.
+  describe('whose next engine answers with an error after the first broke off', () => {
+    const ERROR_EVENTS = JSON.stringify([{ number: 3, data: 'error' }]);
+    const ANSWERS: readonly [string, Partial<TargetResponseHead>, string][] = [
+      ['a failure', { status: 500 }, ERROR_EVENTS],
+      ['a failure that looks like a stream', { status: 500, isEventStream: true }, ERROR_EVENTS],
+      ['a refusal', { status: 503, hasNotRun: true, isEventStream: true }, ERROR_EVENTS],
+      ['a redirection', { status: 302, isEventStream: true }, ERROR_EVENTS],
+      ['a page that is no stream', { status: 200 }, ERROR_EVENTS],
+      ['an empty page', { status: 200 }, '[]'],
+      ['a stream without a receipt', { isEventStream: true, receipt: undefined }, ERROR_EVENTS],
+      ['an empty stream without a receipt', { isEventStream: true, receipt: undefined }, '[]'],
+      ['a stream of no request', { isEventStream: true, echo: undefined }, ERROR_EVENTS],
+    ];
+
+    it.each(ANSWERS)('has nothing of it in its output: %s', async (_, head, body) => {
+      directory.recordRegistration(createTarget('e1'));
+      runner.start();
+      await submit([createItem('i1')]);
+      client.openCalls[0]?.stream(1, ['a', 'b']);
+      client.openCalls[0]?.fail({ run: 'may-have-run', reason: 'reset' });
+      await runPendingCallbacks();
+      client.openCalls.at(-1)?.respond(body, { version: version(1), ...head });
+      clock.advance(5_000);
+      runner.schedule();
+      await readLog();
+      expect(submissions.find(ID)?.results).toEqual([]);
+      const last = client.openCalls.at(-1);
+      expect(last?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
+      last?.stream(3, ['c']);
+      last?.sink.onEnd();
+      await readLog();
+      const [result] = submissions.find(ID)?.results ?? [];
+      const text = await payloads.get(result?.text ? [result.text] : []);
+      expect(text).toMatchObject({ value: ['a\nb\nc'] });
+    });
+  });
+
   // Found with issue 52: an entry of the list whose address belongs to another target held up items.
   it('leaves an engine out that keeps refusing items as meant for another one', async () => {
     ['e1', 'e2'].forEach((id) => directory.recordRegistration(createTarget(id)));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -91,5 +91,8 @@
 
 export { ShutdownSchedule } from './shutdown-schedule';
 
+export { describeMismatch, judgeAnswer } from './answer-owner';
+export type { AnswerHead, AnswerKind } from './answer-owner';
+
 export { AdaptivePace, PacePolicy } from './target-pace';
 export type { AdaptivePaceOptions, PacedResponse } from './target-pace';
