--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -25,6 +25,7 @@
 import type { SuspectExchange } from '../src/suspect-exchange';
 import { LowestLatencyChooser } from '../src/target-chooser';
 import type { SendKind, TargetLimiter } from '../src/target-limiter';
+import type { TargetResponseHead } from '../src/target-port';
 import { TargetStats } from '../src/target-stats';
 import {
   ManualClient,
@@ -248,6 +249,42 @@
   });
 });
 
+describe('a success that is no answer to its request', () => {
+  const NO_ANSWERS: readonly [string, Partial<TargetResponseHead>][] = [
+    ['names no request', { echo: undefined }],
+    ['has no receipt', { receipt: undefined }],
+    ['names another request', { echo: 'request-0' as RequestId }],
+  ];
+
+  // review/1: such a response reached the client of the next request on its connection.
+  it.each(NO_ANSWERS)('is not passed on if it %s: another target answers', async (_, head) => {
+    const result = forward();
+    client.calls[0]?.respond('stray', head);
+    await runPendingCallbacks();
+    expect(client.calls[0]?.isAborted).toBe(true);
+    client.calls[1]?.respond('own');
+    expect(await result).toMatchObject({ type: 'answered', body: Buffer.from('own') });
+  });
+
+  it.each(NO_ANSWERS)('is no stream if it %s', async (_, head) => {
+    const result = forward(createRoute({ kind: 'stream' }));
+    client.calls[0]?.stream(1, ['stray'], head);
+    expect(await result).toMatchObject({ type: 'refused', answer: { status: 502 } });
+    expect(client.calls[0]?.isAborted).toBe(true);
+  });
+
+  it.each(NO_ANSWERS)(
+    'says nothing of a request that may not run again if it %s',
+    async (_, head) => {
+      const result = forward(createRoute({ kind: 'non_idempotent', maxRuns: 3 }));
+      client.calls[0]?.respond('stray', head);
+      const answer = { status: 502, run: 'may-have-run' };
+      expect(await result).toMatchObject({ type: 'refused', answer });
+      expect(client.calls).toHaveLength(1);
+    },
+  );
+});
+
 describe('the deadline of a request', () => {
   it('is answered with status 504 when a target may have run the request', async () => {
     const result = forward();
