--- a/packages/gateway/src/run-tracker.ts
+++ b/packages/gateway/src/run-tracker.ts
@@ -11,6 +11,7 @@
   type RunNeeds,
   type SlotGroup,
   assignSlots,
+  canMoveTo,
 } from '@hibiscushill/routing';
 
 import type { ConfigTracker } from './config-tracker';
@@ -160,7 +161,7 @@
           view.id,
           {
             running: runs.length,
-            canMoveRuns: this.#canMoveAll(runs, [], freeSlots.listElsewhere(view.id)),
+            canMoveRuns: this.#canMoveAll(runs, [], freeSlots),
             isDegraded: isBackedOff || (view.isSpeedFresh && isSlow(view, fastest)),
           },
         ];
@@ -180,26 +181,36 @@
     const zones = new Map(engines.map(({ id, zone }) => [id, zone]));
     const freeSlots = new FreeSlots(views, this.#config.hasAllowedRegions ? zones : undefined);
     const runs = this.listRuns(engine.id, model);
-    return this.#canMoveAll(runs, waiting, freeSlots.listElsewhere(engine.id));
+    return this.#canMoveAll(runs, waiting, freeSlots);
   }
 
+  /** @param runs - the runs of one engine */
   #canMoveAll(
     runs: readonly ItemRun[],
     waiting: readonly ItemTask[],
-    slots: readonly SlotGroup[],
+    freeSlots: FreeSlots,
   ): boolean {
-    if (runs.length === 0) return true;
+    const [first] = runs;
+    if (!first) return true;
     // Only engines that suit the strictest run count.
     const leastVersion = Math.max(1, ...runs.map(({ task }) => task.leastVersion)) as WeightVersion;
-    const waitingItems = waiting.map((task) => ({
-      run: undefined,
-      needs: this.#findNeeds(task, task.begun?.software),
-    }));
     const leaving = runs.map((run) => ({
       run,
       needs: { ...this.#findNeeds(run.task, run.engine.software), leastVersion },
     }));
-    const placed = assignSlots<ItemRun | undefined>([...waitingItems, ...leaving], slots);
+    const { id } = first.engine;
+    // Most engines are asked for in each round, and their runs need the same.
+    if (waiting.length === 0 && leaving.every(({ needs }) => isSame(needs, leaving[0]!.needs))) {
+      return runs.length <= freeSlots.countElsewhere(id, leaving[0]!.needs);
+    }
+    const waitingItems = waiting.map((task) => ({
+      run: undefined,
+      needs: this.#findNeeds(task, task.begun?.software),
+    }));
+    const placed = assignSlots<ItemRun | undefined>(
+      [...waitingItems, ...leaving],
+      freeSlots.listElsewhere(id),
+    );
     return placed.filter(({ run }) => run !== undefined).length === runs.length;
   }
 
@@ -255,6 +266,8 @@
 
   readonly #views = new Map<TargetId, EngineView>();
 
+  readonly #countsByNeeds = new Map<string, number>();
+
   readonly #zones: ReadonlyMap<TargetId, ZoneId> | undefined;
 
   /**
@@ -266,9 +279,8 @@
     views.forEach((view) => {
       this.#views.set(view.id, view);
       const key = this.#createKey(view);
-      const { software, version } = view;
       const slots = (this.#groups.get(key)?.slots ?? 0) + countUsableSlots(view);
-      this.#groups.set(key, { software, version, zone: this.#findZone(view), slots });
+      this.#groups.set(key, this.#createGroup(view, slots));
     });
   }
 
@@ -277,6 +289,16 @@
     return [...this.#groups.values()];
   }
 
+  /** Counts the free slots of all engines but one at which a run can go on. */
+  countElsewhere(engine: TargetId, needs: RunNeeds): number {
+    const key = `${needs.software ?? ''} ${needs.leastVersion} ${needs.requiredVersion ?? ''} ${needs.regions?.key ?? ''}`;
+    const known = this.#countsByNeeds.get(key) ?? this.#count(needs);
+    this.#countsByNeeds.set(key, known);
+    const own = this.#views.get(engine);
+    const isOwnCounted = own !== undefined && canMoveTo(needs, this.#createGroup(own, 0));
+    return known - (isOwnCounted ? countUsableSlots(own) : 0);
+  }
+
   /** Lists the free slots of all engines but one. */
   listElsewhere(engine: TargetId): SlotGroup[] {
     const own = this.#views.get(engine);
@@ -287,6 +309,16 @@
     );
   }
 
+  #count(needs: RunNeeds): number {
+    return this.list()
+      .filter((group) => canMoveTo(needs, group))
+      .reduce((sum, { slots }) => sum + slots, 0);
+  }
+
+  #createGroup(view: EngineView, slots: number): SlotGroup {
+    return { software: view.software, version: view.version, zone: this.#findZone(view), slots };
+  }
+
   #createKey(view: EngineView): string {
     return `${view.version} ${view.software ?? ''} ${this.#findZone(view)}`;
   }
@@ -296,6 +328,11 @@
   }
 }
 
+/** Whether runs that leave one engine need the same; their software and least version are equal. */
+function isSame(a: RunNeeds, b: RunNeeds): boolean {
+  return a.requiredVersion === b.requiredVersion && a.regions === b.regions;
+}
+
 /** Counts the runs that may start at an engine; none may while its weights are being changed. */
 function countUsableSlots(view: EngineView): number {
   return view.isLoading ? 0 : countFreeSlots(view);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -83,7 +83,7 @@
   TrialClaim,
 } from './suspect-requests';
 
-export { assignSlots } from './run-moves';
+export { assignSlots, canMoveTo } from './run-moves';
 export type { LeavingRun, RunNeeds, SlotGroup } from './run-moves';
 
 export { chooseServiceAtRandom, chooseServiceForKey, listServing } from './service-split';
--- a/packages/routing/test/run-moves.test.ts
+++ b/packages/routing/test/run-moves.test.ts
@@ -2,8 +2,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { AllowedRegions, type RunNeeds, type SlotGroup, assignSlots } from '../src';
-import { canMoveTo } from '../src/run-moves';
+import { AllowedRegions, type RunNeeds, type SlotGroup, assignSlots, canMoveTo } from '../src';
 
 const OLD = '1.4.0' as SoftwareVersion;
 const NEW = '1.5.0' as SoftwareVersion;
