Let runs go on streaming while a test of waiting items lets time pass

Cause, in the test: it advanced its clock by 1.2 s at once, so that runs without an event counted as silent; a tick of the runner in real time, within the test's turns of the event loop, then ended them, and their items waited. Runs send an event each 400 ms now; the checks are the same.

--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -67,6 +67,10 @@
 
 const ID = 's1' as SubmissionId;
 
+const LONGER_THAN_SERVICE_WAIT_MS = 1_200;
+// Runs whose streams pause for longer may count as silent.
+const EVENT_INTERVAL_MS = 400;
+
 const ROLLOUT_ROUTE = createRoute({ kind: 'rollout', maxRuns: 3 });
 
 let clock: ManualClock;
@@ -169,6 +173,16 @@
   await append(createAcceptedRecord({ terms: createTerms(id, items.length, terms), items: refs }));
 }
 
+/** Lets time pass while all runs go on, and places items then. */
+async function waitWhileStreaming(ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += EVENT_INTERVAL_MS) {
+    clock.advance(EVENT_INTERVAL_MS);
+    client.openCalls.forEach((call) => call.stream(passed / EVENT_INTERVAL_MS + 1, ['a']));
+  }
+  runner.schedule();
+  await runPendingCallbacks();
+}
+
 function runningAt(target: string): string[] {
   return client.openCalls.filter((one) => one.call.target.id === target).map((one) => one.call.id);
 }
@@ -409,7 +423,6 @@
     { service: SERVICE, weight: 90 },
   ];
   const GROUPS = 64;
-  const LONGER_THAN_SERVICE_WAIT_MS = 1_200;
 
   /** Creates items of groups of their own, so that each goes to a service by itself. */
   function createGroups(count = GROUPS): ItemSpec[] {
@@ -462,9 +475,7 @@
     const atCanary = listTargets().length - first;
     expect(first).toBe(2);
     expect(atCanary).toBeLessThan(GROUPS / 4);
-    clock.advance(LONGER_THAN_SERVICE_WAIT_MS);
-    runner.schedule();
-    await runPendingCallbacks();
+    await waitWhileStreaming(LONGER_THAN_SERVICE_WAIT_MS);
     expect(listTargets()).toHaveLength(GROUPS);
   });
 });
@@ -512,9 +523,7 @@
             );
             await submit(specs, { id: `s${index}` as SubmissionId, model: model! });
           }
-          clock.advance(1_200);
-          runner.schedule();
-          await runPendingCallbacks();
+          await waitWhileStreaming(LONGER_THAN_SERVICE_WAIT_MS);
           const calls = client.openCalls.map(({ call }) => call);
           const allows = (path: string, service: ServiceId): boolean =>
             routes[Number(path[2])]!.some((one) => one.service === service);
