--- a/review/stand-ins-2/case-10.ts
+++ b/review/10/run.ts
@@ -14,10 +14,10 @@
   send,
   waitFor,
   writeConfig,
-} from './case';
-import { Cloud } from './cloud';
-import { type EngineRun, startSlowEngine } from './slow-engine';
-import { Store } from './store';
+} from '../case-2';
+import { Cloud } from '../cloud-2';
+import { type EngineRun, startSlowEngine } from '../slow-engine-2';
+import { Store } from '../store-2';
 
 const EVENTS = 40;
 const EVENT_INTERVAL_MS = 50;
--- a/review/stand-ins-2/case-7.ts
+++ b/review/7/run.ts
@@ -12,11 +12,11 @@
   send,
   waitFor,
   writeConfig,
-} from './case';
-import { Cloud } from './cloud';
-import { EngineProcess } from './engines';
-import { Store } from './store';
-import { createText } from './texts';
+} from '../case-2';
+import { Cloud } from '../cloud-2';
+import { EngineProcess } from '../engines-2';
+import { Store } from '../store-2';
+import { createText } from '../texts-2';
 
 const EVENTS = 24;
 const EVENT_INTERVAL_MS = 40;
@@ -73,7 +73,7 @@
 await Promise.all([store.start(), cloud.start()]);
 writeConfig(store);
 await Promise.all(
-  engines.map((engine) => engine.start('engine-text', [`${EVENTS}`, `${EVENT_INTERVAL_MS}`])),
+  engines.map((engine) => engine.start('engine-text-2', [`${EVENTS}`, `${EVENT_INTERVAL_MS}`])),
 );
 await node.configure(store.address, cloud.address);
 node.start();
--- a/review/stand-ins-2/case.ts
+++ b/review/case-2.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import type { Store } from './store';
+import type { Store } from './store-2';
 
 /** The host of all routes. */
 export const HOST = 'ficu95.example';
--- a/review/stand-ins-2/cloud.ts
+++ b/review/cloud-2.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-import { now, record } from './case';
+import { now, record } from './case-2';
 
 /** A usage report as it arrived. */
 export interface UsageCall {
--- a/review/stand-ins-2/consumer.ts
+++ b/review/consumer-2.ts
@@ -1,7 +1,7 @@
 /** A consumer that keeps channels to one node open and uses the one that was idle longest. */
 import http from 'node:http';
 
-import { HOST, KEY, now, record } from './case';
+import { HOST, KEY, now, record } from './case-2';
 
 /** The answers of one kind that a consumer has got. */
 export class Consumer {
--- a/review/stand-ins-2/engine-text.ts
+++ b/review/engine-text-2.ts
@@ -7,7 +7,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createEvent } from './texts';
+import { createEvent } from './texts-2';
 
 const [id = '', port = '', events = '', pauseMs = ''] = process.argv.slice(2);
 const SPLIT_BYTES = 9;
--- a/review/stand-ins-2/engines.ts
+++ b/review/engines-2.ts
@@ -1,8 +1,8 @@
 /** Model replicas that run as processes of their own. */
 import type { ChildProcess } from 'node:child_process';
 
-import { findPort, record, registerReplica, startChild } from './case';
-import type { Store } from './store';
+import { findPort, record, registerReplica, startChild } from './case-2';
+import type { Store } from './store-2';
 
 const PINGS_OF_SILENCE_MS = 3_600;
 
--- a/review/stand-ins-2/slow-engine.ts
+++ b/review/slow-engine-2.ts
@@ -3,8 +3,8 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { now, record } from './case';
-import { createEvent } from './texts';
+import { now, record } from './case-2';
+import { createEvent } from './texts-2';
 
 /** A run of a request at a replica. */
 export interface EngineRun {
