Take no stream that ends within an event for a whole output

Cause: the run of an item took any orderly end of a response for the end of its output. The operating system of a killed process closes its connections in order; a response without a length then ends like a complete one. That the stream was within an event was asked nowhere.

Change: findTruncation in packages/routing tells whether a response that ended in order is incomplete, by where its events ended, which the adapter follows by lines. A run that is has broken, and its item goes on elsewhere after its last whole event. The log states isDelimited.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,11 @@
 /** One attempt to run a request at one target. */
 import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
-import { type TargetOutcome, describeMismatch, judgeAnswer } from '@hibiscushill/routing';
+import {
+  type ResponseEnd,
+  type TargetOutcome,
+  describeMismatch,
+  judgeAnswer,
+} from '@hibiscushill/routing';
 
 import type { CallerReply } from './caller-port';
 import {
@@ -185,7 +190,7 @@
     }
   }
 
-  override onEnd(): void {
+  override onEnd(_end: ResponseEnd): void {
     const head = this.#head;
     if (this.#hasEnded || !head) return;
     const isError = head.status >= MIN_ERROR_STATUS && !head.hasNotRun;
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -38,8 +38,12 @@
 
   abstract onData(chunk: Buffer): void;
 
-  /** The response is complete. */
-  abstract onEnd(): void;
+  /**
+   * The response has ended without an error of its connection.
+   *
+   * @param isDelimited - whether its framing states its end, rather than the close of its connection
+   */
+  abstract onEnd(isDelimited: boolean): void;
 
   abstract onError(error: ExchangeError): void;
 }
@@ -322,7 +326,7 @@
     this.#hasEnded = true;
     this.#connection.gate?.resume();
     this.#release(this.#isDelimited && !this.#closesConnection);
-    this.#sink.onEnd();
+    this.#sink.onEnd(this.#isDelimited);
   }
 
   onResponseError(_controller: unknown, error: Error): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -66,6 +66,7 @@
 export type {
   AbortCall,
   CallFailure,
+  StreamEnd,
   StreamEvent,
   ResponseFlow,
   TargetResponseHead,
--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -1,7 +1,12 @@
 /** One run of an item: a streamed generation request at one engine. */
 import type { Clock, Logger, Millis, MonoTime, RequestId, WeightVersion } from '@hibiscushill/base';
 
-import { describeMismatch, judgeAnswer } from '@hibiscushill/routing';
+import {
+  type ResponseEnd,
+  describeMismatch,
+  findTruncation,
+  judgeAnswer,
+} from '@hibiscushill/routing';
 
 import type { TargetRegistration } from './target-directory';
 import type { EngineTracker } from './engine-tracker';
@@ -96,6 +101,9 @@
 
   #bytes = 0;
 
+  /** Whether the framing of its response stated its end; undefined if it didn't end in order. */
+  #isDelimited: boolean | undefined;
+
   #hasEnded = false;
 
   /** @param options - the item, the engine and the call */
@@ -173,8 +181,14 @@
     }
   }
 
-  override onEnd(): void {
+  override onEnd(end: ResponseEnd): void {
     if (this.#hasEnded) return;
+    this.#isDelimited = end.isDelimited;
+    const truncation = findTruncation(end, this.#options.call.resumeAfter !== undefined);
+    if (truncation !== undefined) {
+      this.#end('broken', truncation);
+      return;
+    }
     const isComplete = this.#head !== undefined && this.task.hasOutput;
     this.#end(
       isComplete ? 'complete' : 'broken',
@@ -231,6 +245,7 @@
       target: this.engine.id,
       outcome,
       reason,
+      isDelimited: this.#isDelimited,
       events: this.#events,
       expectedTokens: this.task.spec.expectedTokens,
       version: this.#version,
--- a/packages/gateway/src/target-port.ts
+++ b/packages/gateway/src/target-port.ts
@@ -1,8 +1,12 @@
 /** The port through which the gateway calls targets, whatever their protocol. */
 import type { Millis, RequestId, RunState, TeamId, WeightVersion } from '@hibiscushill/base';
 
+import type { ResponseEnd } from '@hibiscushill/routing';
+
 import type { TargetRegistration } from './target-directory';
 
+export type { ResponseEnd, StreamEnd } from '@hibiscushill/routing';
+
 /** A request to one target. */
 export interface TargetCall {
   readonly target: TargetRegistration;
@@ -74,7 +78,8 @@
 
   abstract onData(chunk: Buffer): void;
 
-  abstract onEnd(): void;
+  /** The response has ended, without an error of its connection. */
+  abstract onEnd(end: ResponseEnd): void;
 
   abstract onFailure(failure: CallFailure): void;
 }
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -24,6 +24,7 @@
 } from '../src/target-port';
 import { TargetStats } from '../src/target-stats';
 import {
+  DELIMITED,
   ManualClient,
   createConfig,
   createHead,
@@ -74,7 +75,7 @@
     void this.#clock.sleep(endsAt - this.#clock.mono()).then(() => {
       if (isAborted) return;
       sink.onHead(createHead(id, { load: { running: SLOTS, waiting: 0, slots: SLOTS } }));
-      sink.onEnd();
+      sink.onEnd(DELIMITED);
     });
     return () => {
       isAborted = true;
--- a/packages/gateway/test/speed-replay.ts
+++ b/packages/gateway/test/speed-replay.ts
@@ -25,6 +25,7 @@
 } from '../src/target-port';
 import { TargetStats } from '../src/target-stats';
 import {
+  DELIMITED,
   createHead,
   createLimiter,
   createMetrics,
@@ -195,7 +196,7 @@
     if (!stop.aborted) await this.#clock.sleep(tookMs, stop);
     target.releaseSlot();
     if (!isHeadEarly) sendHead();
-    if (!stop.aborted) sink.onEnd();
+    if (!stop.aborted) sink.onEnd(DELIMITED);
   }
 }
 
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -48,6 +48,7 @@
 import {
   MODEL,
   SERVICE,
+  DELIMITED,
   ManualClient,
   type RecordedCall,
   advance,
@@ -198,7 +199,7 @@
     ]);
     expect(runningAt('e1')).toEqual(['long', 'middle']);
     client.calls[0]?.stream(1, ['a']);
-    client.calls[0]?.sink.onEnd();
+    client.calls[0]?.sink.onEnd(DELIMITED);
     await readLog();
     expect(runningAt('e1')).toContain('short');
   });
@@ -235,7 +236,7 @@
     expect(client.calls[1]?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
     expect(client.calls[1]?.call.target.id).toBe('e2');
     client.calls[1]?.stream(3, ['c']);
-    client.calls[1]?.sink.onEnd();
+    client.calls[1]?.sink.onEnd(DELIMITED);
     await readLog();
     const [result] = submissions.find(ID)?.results ?? [];
     expect(await payloads.get(result?.text ? [result.text] : [])).toMatchObject({
@@ -329,7 +330,7 @@
       const last = client.openCalls.at(-1);
       expect(last?.call).toMatchObject({ id: 'i1', resumeAfter: 2 });
       last?.stream(3, ['c']);
-      last?.sink.onEnd();
+      last?.sink.onEnd(DELIMITED);
       await readLog();
       const [result] = submissions.find(ID)?.results ?? [];
       const text = await payloads.get(result?.text ? [result.text] : []);
@@ -617,7 +618,7 @@
     const pushEvent = (event: number): void =>
       listRunning().forEach((call) => call.stream(event, ['a']));
     client.openCalls.forEach((call) => call.stream(1, ['a']));
-    ended.forEach((call) => call.sink.onEnd());
+    ended.forEach((call) => call.sink.onEnd(DELIMITED));
     await readLog();
     const engineControl = new FakeEngineControl();
     const controller = createController(engineControl);
@@ -630,7 +631,7 @@
       pushEvent(event);
     }
     expect(engineControl.orders.length).toBeGreaterThan(0);
-    listRunning().forEach((call) => call.sink.onEnd());
+    listRunning().forEach((call) => call.sink.onEnd(DELIMITED));
     await readLog();
     expect(submissions.find(ID)?.results).toHaveLength(items.length);
   });
@@ -733,7 +734,7 @@
     const [call] = client.openCalls;
     call?.stream(1, ['a']);
     call?.stream(2, ['b'], { version: version(2) });
-    call?.sink.onEnd();
+    call?.sink.onEnd(DELIMITED);
     await runPendingCallbacks();
     confirmConfig([{ ...ROLLOUT_ROUTE, isSingleVersion: true }]);
     client.calls.find((one) => one.call.id === reward.id)?.respond('', { receipt: 'score' });
@@ -781,7 +782,7 @@
       expect(calls).toHaveLength(items.length);
       calls.slice(step % 2).forEach((call) => {
         call.stream(1, ['a']);
-        call.sink.onEnd();
+        call.sink.onEnd(DELIMITED);
       });
       await readLog();
       if (submissions.find(id)?.isOpen) await append(createEndedRecord(id));
@@ -802,7 +803,7 @@
     await submit([createItem('i1')], { submittedAt: clock.wall() });
     const [first] = client.calls;
     first?.stream(1, ['a']);
-    first?.sink.onEnd();
+    first?.sink.onEnd(DELIMITED);
     await readLog();
     clock.advance(KEEP_MS);
     await submit([createItem('i2')], { id: 's2' as SubmissionId, submittedAt: clock.wall() });
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -28,7 +28,7 @@
   MemoryLog,
 } from '@hibiscushill/log';
 import { type ResultAsync, errAsync, okAsync } from 'neverthrow';
-import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
+import { LimitShares, type ResponseEnd, SuspectRequests } from '@hibiscushill/routing';
 
 import type { ItemSpec } from '../src/caller-port';
 import { DeclaredOrigins } from '../src/declared-origins';
@@ -270,6 +270,9 @@
   };
 }
 
+/** The end of a response whose framing states it. */
+export const DELIMITED: ResponseEnd = { isDelimited: true, stream: undefined };
+
 /** A call to a target, to which the test responds. */
 export class RecordedCall {
   readonly call: TargetCall;
@@ -286,7 +289,7 @@
   respond(body: string, changes: Partial<TargetResponseHead> = {}): void {
     this.sink.onHead(createHead(this.call.id, changes));
     this.sink.onData(Buffer.from(body));
-    this.sink.onEnd();
+    this.sink.onEnd(DELIMITED);
   }
 
   stream(first: number, events: readonly string[], head: Partial<TargetResponseHead> = {}): void {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -39,6 +39,9 @@
 
 export { FairQueue } from './fair-queue';
 
+export { findTruncation } from './response-end';
+export type { ResponseEnd, StreamEnd } from './response-end';
+
 export { RetryBudget } from './retry-budget';
 export type { RetryBudgetOptions } from './retry-budget';
 
