Abort streams to callers whose target ended them within an event

Cause: an attempt ended its caller's response for any end of the target's response that isn't an error. A response without a length ends with its connection, which the operating system of a killed process closes in order.

A test that cuts streams at each byte got all of the 54 that were cut as complete, and one that was closed after its head.

Change: attempts ask findTruncation as the runs of items do. A response that ended within an event, or was closed before the first one, has failed, and the response to its caller is aborted.

Failed before: two tests of cut-streams.test.ts.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,6 +4,7 @@
   type ResponseEnd,
   type TargetOutcome,
   describeMismatch,
+  findTruncation,
   judgeAnswer,
 } from '@hibiscushill/routing';
 
@@ -190,9 +191,14 @@
     }
   }
 
-  override onEnd(_end: ResponseEnd): void {
+  override onEnd(end: ResponseEnd): void {
     const head = this.#head;
     if (this.#hasEnded || !head) return;
+    const truncation = findTruncation(end, this.call.resumeAfter !== undefined);
+    if (truncation !== undefined) {
+      this.onFailure({ run: 'may-have-run', reason: truncation });
+      return;
+    }
     const isError = head.status >= MIN_ERROR_STATUS && !head.hasNotRun;
     const hasNotRun = head.hasNotRun || head.status === STATUS_MISDIRECTED;
     this.#finish(
