Take a reset of a response that is coded but not chunked for a failure

What callers could see: a part of a response as a whole one, if its target reset the connection.

Cause: a response counted as delimited if it had any Transfer-Encoding. The body of one without chunks ends with its connection, like that of a response without a length, so that its reset counted as its end.

Change: only the chunked coding, or a length without a coding, delimits a response.

Failed before: "while its body is coded, but not in chunks" of http-exchange.test.ts. After: it passes.

--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -297,12 +297,8 @@
     const headers = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
       typeof part === 'string' ? part : part.toString('latin1'),
     );
-    const names = headers.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
-    this.#isDelimited =
-      names.includes('content-length') || names.includes('transfer-encoding') || status === 204;
-    const connectionAt = names.indexOf('connection');
-    this.#closesConnection =
-      connectionAt >= 0 && (headers[2 * connectionAt + 1] ?? '').toLowerCase() === 'close';
+    this.#isDelimited = status === 204 || isDelimited(headers);
+    this.#closesConnection = findValues(headers, 'connection')[0] === 'close';
     this.#sink.onHead(status, headers, {
       pause: () => {
         if (!this.#hasEnded) this.#connection.gate?.pause();
@@ -345,3 +341,18 @@
     this.#sink.onError({ wasSent: this.#wasSent, reason });
   }
 }
+
+/** Whether the headers of a response let its end be told from the close of its connection. */
+function isDelimited(headers: readonly string[]): boolean {
+  const coding = findValues(headers, 'transfer-encoding').at(-1);
+  // A body that is coded otherwise than in chunks ends with its connection, whatever its length.
+  if (coding !== undefined) return /(^|[,\s])chunked\s*$/.test(coding);
+  return findValues(headers, 'content-length').length > 0;
+}
+
+/** Lists the values of a header in lower case, of names and values in turn. */
+function findValues(headers: readonly string[], name: string): string[] {
+  return headers
+    .filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name)
+    .map((value) => value.toLowerCase());
+}
--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -31,14 +31,16 @@
 
 // A response that only the end of its connection delimits.
 const RESPONSE_START = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of';
+// The same, although the body is said to be coded.
+const CODED_START = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhalf of';
 
 const server = createServer(({ url, socket }, res) => {
   if (url === '/') {
     res.end('ok');
     return;
   }
-  socket.write(RESPONSE_START);
-  if (url === '/reset') socket.resetAndDestroy();
+  socket.write(url === '/reset-coded' ? CODED_START : RESPONSE_START);
+  if (url === '/reset' || url === '/reset-coded') socket.resetAndDestroy();
   else if (url === '/reset-later') setTimeout(() => socket.resetAndDestroy(), 20);
   else socket.end();
 });
@@ -108,6 +110,7 @@
   it.each([
     ['in the same burst as its data', '/reset'],
     ['after its data', '/reset-later'],
+    ['while its body is coded, but not in chunks', '/reset-coded'],
   ])('fails when its connection was reset %s', async (_, path) => {
     const sink = send(path);
     await expect.poll(() => sink.isComplete || sink.errors.length > 0).toBe(true);
