--- a/packages/routing/test/answer-owner.test.ts
+++ b/packages/routing/test/answer-owner.test.ts
@@ -47,6 +47,24 @@
     `);
   });
 
+  // Issue 59, a report from another operator: a response with status 000 reached a client.
+  it('is no answer with a status that no final response has', () => {
+    expect(
+      [0, 1, 99, 101, 199, 600, 999, NaN].map((status) => judge(status)),
+    ).toMatchInlineSnapshot(`
+      [
+        "malformed: the status 0 is none of a final response",
+        "malformed: the status 1 is none of a final response",
+        "malformed: the status 99 is none of a final response",
+        "malformed: the status 101 is none of a final response",
+        "malformed: the status 199 is none of a final response",
+        "malformed: the status 600 is none of a final response",
+        "malformed: the status 999 is none of a final response",
+        "malformed: the status NaN is none of a final response",
+      ]
+    `);
+  });
+
   it('is no success without a receipt, which failures need not have', () => {
     const withoutReceipt = [200, 204, 299, 302, 404, 500, 503].map((status) =>
       judge(status, { receipt: undefined }),
