Refuse streams that come late in the stop of a process

Cause: a stopping process takes late requests that end in time by their deadline. A stream goes on after its deadline while its caller reads it.

Change: streams count as having no bounded end, and are refused with 503 and Retry-After once callers can know of the stop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,7 +174,9 @@
       return;
     }
     const endsAt = computeEnd(req, route.value);
-    if (!this.#takes(endsAt)) {
+    // A stream goes on after its deadline while its caller reads it.
+    const isBounded = route.value.kind !== 'stream';
+    if (!this.#takes(isBounded ? endsAt : (Infinity as MonoTime))) {
       this.#refuse(req, reply, this.#createStoppingRefusal());
       return;
     }
--- a/packages/routing/src/shutdown-schedule.ts
+++ b/packages/routing/src/shutdown-schedule.ts
@@ -35,7 +35,7 @@
    * before they may. Later ones are refused at once unless they surely end in time.
    *
    * @param now - when the request arrived
-   * @param endsAt - when the request ends at the latest
+   * @param endsAt - when the request ends at the latest; infinite if nothing bounds it
    */
   takes(now: MonoTime, endsAt: MonoTime): boolean {
     return endsAt <= this.servesUntil || now < this.#takesAnyUntil;
--- a/packages/routing/test/shutdown-schedule.test.ts
+++ b/packages/routing/test/shutdown-schedule.test.ts
@@ -17,6 +17,7 @@
 describe('the schedule of a process that stops', () => {
   it('takes any request while its callers can not know of the stop', () => {
     expect([0, 700, 2_900].map((ms) => takes(ms, 10_000))).toEqual([true, true, true]);
+    expect(takes(2_900, Infinity)).toBe(true);
   });
 
   it('takes only requests that end in time after that', () => {
@@ -24,6 +25,7 @@
     expect(takes(3_100, 4_000)).toBe(true);
     expect(takes(6_500, 800)).toBe(false);
     expect(takes(6_300, 800)).toBe(true);
+    expect(takes(3_100, Infinity)).toBe(false);
   });
 
   // A request may still be at its target in the last sixth of the time only if it was sent early.
