Bound what all responses of a process keep in memory together

Cause: an attempt keeps a body of up to a megabyte, so that its request can be tried again, and nothing counted the attempts.

Change: all attempts of a process keep 32 MB together; a response beyond is passed on as it arrives.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to run a request at one target. */
 import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
 import {
+  type ByteBudget,
   type ResponseEnd,
   type TargetOutcome,
   describeMismatch,
@@ -45,6 +46,8 @@
   readonly client: TargetClient;
   readonly stats: TargetStats;
   readonly clock: Clock;
+  /** What the attempts of the process keep together of responses that aren't passed on yet. */
+  readonly buffers: ByteBudget;
   /** Called once, when the response is complete or the attempt has ended without one. */
   readonly onEnded?: (attempt: Attempt, end: AttemptEnd) => void;
 }
@@ -81,6 +84,9 @@
 
   #bytes = 0;
 
+  /** How many of these bytes count against the budget. */
+  #budgetedBytes = 0;
+
   #reply: CallerReply | undefined;
 
   #onRelayEnd: (reason: string | undefined) => void = () => undefined;
@@ -151,6 +157,7 @@
     reply.startResponse(this.#head);
     const isWritable = this.#chunks.map((chunk) => reply.write(chunk)).at(-1) ?? true;
     this.#chunks = [];
+    this.#releaseBuffers();
     if (this.#endBeforeRelay) {
       this.#endRelay(this.#endBeforeRelay.reason);
       return;
@@ -185,7 +192,9 @@
     }
     this.#chunks.push(chunk);
     this.#bytes += chunk.length;
-    if (this.#bytes > MAX_BUFFER_BYTES && this.#head) {
+    const isKept = this.#options.buffers.take(chunk.length);
+    if (isKept) this.#budgetedBytes += chunk.length;
+    if ((!isKept || this.#bytes > MAX_BUFFER_BYTES) && this.#head) {
       this.#pause();
       this.#resolve({ type: 'streaming', head: this.#head });
     }
@@ -259,9 +268,15 @@
     this.#onRelayEnd(reason);
   }
 
+  #releaseBuffers(): void {
+    this.#options.buffers.release(this.#budgetedBytes);
+    this.#budgetedBytes = 0;
+  }
+
   #finish(end: AttemptEnd, outcome?: TargetOutcome, tookMs?: Millis): void {
     this.#hasEnded = true;
     this.#deadlineStop?.abort();
+    this.#releaseBuffers();
     this.#options.stats.recordEnded(this.call.target.id, outcome, tookMs, this.sentAt);
     this.#options.onEnded?.(this, end);
   }
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -14,6 +14,7 @@
 } from '@hibiscushill/base';
 import {
   AllowedRegions,
+  ByteBudget,
   type RunPermit,
   chooseServiceAtRandom,
   jitterRetryAfter,
@@ -56,6 +57,9 @@
 // A retry is likely to reach another process, which may be able to serve it at once.
 const OTHER_PROCESS_RETRY_MS = 40;
 
+// What is beyond is passed on as it arrives. The smallest instances have 250 MB of memory.
+const MAX_BUFFERED_BYTES = 32_000_000;
+
 const BROKEN_RUNS = 'the connections of targets broke while they ran the request';
 
 // Scoring calls leave these of a target's slots to callers' requests.
@@ -132,7 +136,8 @@
 
   /** @param options - the targets and how to call them */
   constructor(options: ForwarderOptions) {
-    this.#options = { ...options, hedges: new HedgeTimer(options) };
+    const buffers = new ByteBudget(MAX_BUFFERED_BYTES);
+    this.#options = { ...options, hedges: new HedgeTimer(options), buffers };
   }
 
   /**
@@ -163,7 +168,10 @@
   | { readonly type: 'hedge'; readonly targets: HedgeTargets }
   | { readonly type: 'deadline' | 'cancelled' };
 
-type ForwardTaskOptions = ForwarderOptions & { readonly hedges: HedgeTimer };
+type ForwardTaskOptions = ForwarderOptions & {
+  readonly hedges: HedgeTimer;
+  readonly buffers: ByteBudget;
+};
 
 /** Forwards one request. */
 class ForwardTask {
@@ -458,13 +466,13 @@
 
   #sendTo(target: TargetRegistration): void {
     const { id, method, path, host, headers, body, team, resumeAfter } = this.#req;
-    const { client, stats, clock, pacer } = this.#options;
+    const { client, stats, clock, pacer, buffers } = this.#options;
     pacer?.recordSent(target);
     this.#triedTargets.add(target.id);
     this.#attempts += 1;
     this.#possibleRuns += 1;
     const attempt = new Attempt(
-      { client, stats, clock, onEnded: (ended, end) => this.#recordEnd(ended, end) },
+      { client, stats, clock, buffers, onEnded: (ended, end) => this.#recordEnd(ended, end) },
       {
         target,
         method,
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -1,10 +1,11 @@
 import { ManualClock, type RequestId } from '@hibiscushill/base';
+import { ByteBudget } from '@hibiscushill/routing';
 import { describe, expect, it } from 'vitest';
 
 import { Attempt } from '../src/attempt';
 import { CallerReply } from '../src/caller-port';
 import { TargetStats } from '../src/target-stats';
-import { ManualClient, advance, createHead, createTarget } from './support';
+import { DELIMITED, ManualClient, advance, createHead, createTarget } from './support';
 
 const DEADLINE_MS = 800;
 const STEP_MS = 10;
@@ -41,9 +42,13 @@
   override refuse(): void {}
 }
 
-function startAttempt(clock: ManualClock, client: ManualClient): Attempt {
+function startAttempt(
+  clock: ManualClock,
+  client: ManualClient,
+  buffers = new ByteBudget(Infinity),
+): Attempt {
   return new Attempt(
-    { client, stats: new TargetStats(clock), clock },
+    { client, stats: new TargetStats(clock), clock, buffers },
     {
       target: createTarget('t1'),
       method: 'GET',
@@ -80,3 +85,32 @@
     expect(call.isAborted).toBe(expected.wasAborted);
   });
 });
+
+// Issue 59, a report from another operator: bodies without end filled the memory of their caller.
+describe('the responses of many requests at once', () => {
+  const PART = Buffer.alloc(900_000);
+  const MAX_BYTES = 10 * PART.length;
+
+  it('are passed on as they arrive where keeping them would exceed the budget', async () => {
+    const clock = new ManualClock();
+    const client = new ManualClient();
+    const buffers = new ByteBudget(MAX_BYTES);
+    const attempts = Array.from({ length: 25 }, () => startAttempt(clock, client, buffers));
+    client.calls.forEach(({ call, sink }) => {
+      sink.onHead(createHead(call.id));
+      sink.onData(PART);
+    });
+    expect(buffers.bytes).toBe(MAX_BYTES);
+    const later = attempts.slice(10).map(({ result }) => result);
+    expect(new Set((await Promise.all(later)).map(({ type }) => type))).toEqual(
+      new Set(['streaming']),
+    );
+    client.calls[0]?.sink.onEnd(DELIMITED);
+    attempts[1]?.cancel();
+    attempts[2]?.relayTo(new FastReply(), () => undefined);
+    client.calls[3]?.sink.onFailure({ run: 'may-have-run', reason: 'reset' });
+    expect(buffers.bytes).toBe(6 * PART.length);
+    attempts.forEach((attempt) => attempt.cancel());
+    expect(buffers.bytes).toBe(0);
+  });
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,6 +11,8 @@
 export { AffinityTargetPolicy } from './affinity-target-policy';
 export type { AffinityTargetPolicyOptions } from './affinity-target-policy';
 
+export { ByteBudget } from './byte-budget';
+
 export { decideAccess, mayAccessWork } from './caller-access';
 export type { AccessBasis, AccessDecision, AccessFacts, CallerAccess } from './caller-access';
 
--- a/packages/routing/test/answer-owner.test.ts
+++ b/packages/routing/test/answer-owner.test.ts
@@ -49,9 +49,8 @@
 
   // Issue 59, a report from another operator: a response with status 000 reached a client.
   it('is no answer with a status that no final response has', () => {
-    expect(
-      [0, 1, 99, 101, 199, 600, 999, NaN].map((status) => judge(status)),
-    ).toMatchInlineSnapshot(`
+    expect([0, 1, 99, 101, 199, 600, 999, NaN].map((status) => judge(status)))
+      .toMatchInlineSnapshot(`
       [
         "malformed: the status 0 is none of a final response",
         "malformed: the status 1 is none of a final response",
