Test that a response is complete only with all its bytes

It doesn't happen here: cut at each byte and closed in order, a response with a length, in chunks or in HTTP/1.0 is complete only as a whole, and one without a length only once its head is. The tests passed on the code before as well.

--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, createServer as createRawServer } from 'node:net';
 
 import { SystemClock } from '@hibiscushill/base';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -118,6 +118,46 @@
   });
 });
 
+describe('a response whose target stops in the middle of it and closes in order', () => {
+  const HEAD = 'HTTP/1.1 200 OK\r\nX-Any: value\r\n';
+
+  // Issue 59, a report from another operator: cut heads became responses with short bodies.
+  it.each([
+    ['with a length', `${HEAD}Content-Length: 2\r\n\r\n`, 'ok'],
+    ['in chunks', `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, '2\r\nok\r\n0\r\n\r\n'],
+    [
+      'in chunks, on a connection that is to be closed',
+      `${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`,
+      '2\r\nok\r\n0\r\n\r\n',
+    ],
+    ['in HTTP/1.0', `${HEAD.replace('1.1', '1.0')}Content-Length: 2\r\n\r\n`, 'ok'],
+    ['without a length', `${HEAD}Connection: close\r\n\r\n`, ''],
+  ])('is complete only with all its bytes: %s', async (_, head, body) => {
+    const bytes = head + body;
+    const cutServer = createRawServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', (data) => {
+        const length = Number(data.toString().split(' ')[1]?.slice(1));
+        socket.end(bytes.slice(0, length));
+      });
+    });
+    await new Promise<void>((resolve) => {
+      cutServer.listen(0, '127.0.0.1', resolve);
+    });
+    const cutAddress = `127.0.0.1:${(cutServer.address() as AddressInfo).port}`;
+    const sinks = Array.from({ length: bytes.length + 1 }, (__, length) => {
+      const sink = new RecordingSink();
+      const req = { address: cutAddress, method: 'GET', path: `/${length}`, headers: [] };
+      exchanger.send(req, sink);
+      return sink;
+    });
+    const hasEnded = (sink: RecordingSink): boolean => sink.isComplete || sink.errors.length > 0;
+    await expect.poll(() => sinks.every(hasEnded)).toBe(true);
+    expect(sinks.map(({ isComplete }) => isComplete).indexOf(true)).toBe(bytes.length);
+    cutServer.close();
+  });
+});
+
 describe('the pool', () => {
   it('forgets an address once its last idle connection is closed or in use', async () => {
     const send = (path: string): RecordingSink => {
