Pass streams on as whole where their framing states their end

Found by "gets a whole stream after it has paused" of slow-callers.test.ts, whose stream holds no events.

Change: what is passed on unread is whole if its framing says so; only a stream without a length is judged by its events. Items read the events, so that one which has not ended makes their run a broken one either way.

--- a/packages/gateway/src/item-run.ts
+++ b/packages/gateway/src/item-run.ts
@@ -4,6 +4,7 @@
 import {
   type ResponseEnd,
   describeMismatch,
+  findPartialEvent,
   findTruncation,
   judgeAnswer,
 } from '@hibiscushill/routing';
@@ -184,7 +185,8 @@
   override onEnd(end: ResponseEnd): void {
     if (this.#hasEnded) return;
     this.#isDelimited = end.isDelimited;
-    const truncation = findTruncation(end, this.#options.call.resumeAfter !== undefined);
+    const isResumed = this.#options.call.resumeAfter !== undefined;
+    const truncation = findTruncation(end, isResumed) ?? findPartialEvent(end.stream);
     if (truncation !== undefined) {
       this.#end('broken', truncation);
       return;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -41,7 +41,7 @@
 
 export { FairQueue } from './fair-queue';
 
-export { findTruncation } from './response-end';
+export { findPartialEvent, findTruncation } from './response-end';
 export type { ResponseEnd, StreamEnd } from './response-end';
 
 export { RetryBudget } from './retry-budget';
--- a/packages/routing/src/response-end.ts
+++ b/packages/routing/src/response-end.ts
@@ -1,5 +1,7 @@
 /** Whether a response that ended was received to its end. */
 
+const CLOSED_EARLY = 'the connection was closed before the first event';
+
 /** Where a stream of events ended. */
 export interface StreamEnd {
   /** Whether every event that had begun was received to its end. */
@@ -30,8 +32,17 @@
   { isDelimited, stream }: ResponseEnd,
   isResumed: boolean,
 ): string | undefined {
-  if (!stream) return undefined;
-  if (!stream.isBetweenEvents) return 'the stream ended within an event';
-  const hasBegun = isDelimited || stream.events > 0 || isResumed;
-  return hasBegun ? undefined : 'the connection was closed before the first event';
+  if (!stream || isDelimited) return undefined;
+  const hasBegun = stream.events > 0 || isResumed;
+  return findPartialEvent(stream) ?? (hasBegun ? undefined : CLOSED_EARLY);
+}
+
+/**
+ * Finds out whether a stream ended within an event. Whoever reads the events lacks this one, however
+ * the response was framed; a response that is passed on unread is whole if its framing says so.
+ *
+ * @returns what is missing; undefined if nothing is
+ */
+export function findPartialEvent(stream: StreamEnd | undefined): string | undefined {
+  return stream && !stream.isBetweenEvents ? 'the stream ended within an event' : undefined;
 }
