Take responses without a length of crashed servers for incomplete

What callers could see: a stream or a body as whole whose target was killed between two events or within a plain body. Nothing in its bytes shows it, and the operating system closes the connection in order.

Change: after a response without a length, the exchanger opens a connection to its server. If it is refused, and the target is neither leaving nor gone from the list, its process has crashed, and the response has failed. If that can't be told, the response is complete as before.

Failed before: one test of http-exchange.test.ts. After: it passes.

--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,5 +1,5 @@
 /** HTTP requests over pooled connections, of which each carries one request at a time. */
-import type { Socket } from 'node:net';
+import { type Socket, connect as connectSocket } from 'node:net';
 
 import { type Clock, type Metrics, type Millis, onConnectionReset } from '@hibiscushill/base';
 import { type Result, err, ok } from 'neverthrow';
@@ -20,6 +20,8 @@
   readonly isFresh?: boolean;
   /** Asked after the response: whether to pool the connection; by default it is pooled. */
   readonly mayKeep?: () => boolean;
+  /** Asked after a response without a length: whether its server may refuse connections. */
+  readonly mayRefuse?: () => boolean;
 }
 
 /** Why an exchange ended without a complete response. */
@@ -60,6 +62,8 @@
   readonly keepAliveMs?: Millis;
 }
 
+// A server in the same region accepts or refuses a connection within a few milliseconds.
+const LISTENING_TIMEOUT_MS = 200;
 // Connections inside a region open within a few milliseconds. After this the peer counts as lost.
 const CONNECT_TIMEOUT_MS = 400;
 // Below the idle time-outs of servers that don't state theirs.
@@ -137,9 +141,14 @@
     const acquired = this.#tryAcquire(req);
     if (acquired.isErr()) return failLater(sink, acquired.error);
     const connection = acquired.value;
-    const handler = new ExchangeHandler(connection, sink, (isReusable) => {
-      if (isReusable && (req.mayKeep?.() ?? true)) this.#release(req.address, connection);
-      else connection.client.destroy().catch(() => undefined);
+    const handler = new ExchangeHandler({
+      connection,
+      sink,
+      release: (isReusable) => {
+        if (isReusable && (req.mayKeep?.() ?? true)) this.#release(req.address, connection);
+        else connection.client.destroy().catch(() => undefined);
+      },
+      hasCrashed: async () => !req.mayRefuse?.() && !(await isListening(req.address)),
     });
     // The library reports a request that it can't write during this call, before the caller has got
     // the function that ends the exchange.
@@ -240,6 +249,15 @@
   }
 }
 
+interface ExchangeHandlerOptions {
+  readonly connection: PooledConnection;
+  readonly sink: ExchangeSink;
+  /** Called at the end, with whether the connection can be used again. */
+  readonly release: (isReusable: boolean) => void;
+  /** Whether the server is known to have crashed. */
+  readonly hasCrashed: () => Promise<boolean>;
+}
+
 /** Passes the library's events of one exchange on to its sink. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #connection: PooledConnection;
@@ -248,6 +266,8 @@
 
   readonly #release: (isReusable: boolean) => void;
 
+  readonly #hasCrashed: () => Promise<boolean>;
+
   #wasSent = false;
 
   #hasEnded = false;
@@ -259,14 +279,11 @@
 
   #closesConnection = false;
 
-  constructor(
-    connection: PooledConnection,
-    sink: ExchangeSink,
-    release: (isReusable: boolean) => void,
-  ) {
+  constructor({ connection, sink, release, hasCrashed }: ExchangeHandlerOptions) {
     this.#connection = connection;
     this.#sink = sink;
     this.#release = release;
+    this.#hasCrashed = hasCrashed;
   }
 
   abort(): void {
@@ -315,10 +332,21 @@
 
   onResponseEnd(): void {
     if (this.#hasEnded) return;
-    if (!this.#isDelimited && this.#connection.wasReset) {
+    if (this.#isDelimited) this.#end();
+    else void this.#endUndelimited();
+  }
+
+  /** Ends a response without a length unless it may have been cut. */
+  async #endUndelimited(): Promise<void> {
+    if (this.#connection.wasReset) {
       this.#fail('connection reset before the end of a response without a length');
-      return;
-    }
+    } else if (await this.#hasCrashed()) {
+      this.#fail('server gone after a response without a length');
+    } else this.#end();
+  }
+
+  #end(): void {
+    if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#connection.gate?.resume();
     this.#release(this.#isDelimited && !this.#closesConnection);
@@ -356,3 +384,21 @@
     .filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name)
     .map((value) => value.toLowerCase());
 }
+
+/**
+ * Tells whether a server accepts connections; true also if that can't be told. The operating system
+ * of a killed process closes its connections in order, and refuses new ones.
+ */
+function isListening(address: string): Promise<boolean> {
+  const [host = '', port] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = connectSocket({ host, port: Number(port), timeout: LISTENING_TIMEOUT_MS });
+    const settle = (value: boolean): void => {
+      socket.destroy();
+      resolve(value);
+    };
+    socket.once('connect', () => settle(true));
+    socket.once('timeout', () => settle(true));
+    socket.once('error', ({ code }: NodeJS.ErrnoException) => settle(code !== 'ECONNREFUSED'));
+  });
+}
--- a/packages/gateway/test/http-exchange.test.ts
+++ b/packages/gateway/test/http-exchange.test.ts
@@ -118,6 +118,31 @@
   });
 });
 
+describe('a response without a length of a server that ends with it', () => {
+  // Found with review/7 and 9: a process is killed between two events or in a plain body.
+  it.each([
+    ['fails if the server has crashed', false],
+    ['is complete if the server may have stopped', true],
+  ])('%s', async (_, mayRefuse) => {
+    const ending = createRawServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', () => {
+        ending.close();
+        socket.end(RESPONSE_START);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      ending.listen(0, '127.0.0.1', resolve);
+    });
+    const to = `127.0.0.1:${(ending.address() as AddressInfo).port}`;
+    const sink = new RecordingSink();
+    const req = { address: to, method: 'GET', path: '/', headers: [], mayRefuse: () => mayRefuse };
+    exchanger.send(req, sink);
+    await expect.poll(() => sink.isComplete || sink.errors.length > 0).toBe(true);
+    expect(sink).toMatchObject({ status: 200, isComplete: mayRefuse });
+  });
+});
+
 describe('a response whose target stops in the middle of it and closes in order', () => {
   const HEAD = 'HTTP/1.1 200 OK\r\nX-Any: value\r\n';
 
