--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,19 +8,13 @@
   RandomSource,
   TeamId,
 } from '@hibiscushill/base';
-import {
-  type AllowedRegions,
-  type CallerAccess,
-  ShutdownSchedule,
-  decideAccess,
-  jitterRetryAfter,
-} from '@hibiscushill/routing';
+import { type AllowedRegions, type CallerAccess, ShutdownSchedule } from '@hibiscushill/routing';
 
+import { AccessCheck } from './access-check';
 import {
   CallerHandler,
   type CallerReply,
   type CallerRequest,
-  type ItemSpec,
   type Outcome,
   type GatewayAnswer,
   type ResultPage,
@@ -34,9 +28,6 @@
 import type { ItemId } from './submission';
 import type { SubmissionService } from './submission-service';
 
-// A retry is likely to reach another process, which may be able to serve it at once.
-const OTHER_PROCESS_RETRY_MS = 40;
-
 /** The configuration, and what serves requests and submissions. */
 export interface GatewayOptions {
   readonly clock: Clock;
@@ -53,13 +44,6 @@
   run: 'may-have-run',
 });
 
-/** What refusals for good tell their callers, by code. */
-const DENIALS = {
-  route_unknown: 'No route matches the host and path.',
-  key_missing: 'The request has no key.',
-  key_unknown: 'The key is not known.',
-} as const;
-
 /** The access of calls that need none, as those of work that belongs to no team. */
 const ANONYMOUS: CallerAccess = { team: undefined, basis: 'public' };
 
@@ -67,6 +51,8 @@
 export class Gateway extends CallerHandler {
   readonly #options: GatewayOptions;
 
+  readonly #access: AccessCheck;
+
   /** What ends each open request that isn't part of a submission. */
   readonly #openRequests = new Set<AbortController>();
 
@@ -76,6 +62,7 @@
   constructor(options: GatewayOptions) {
     super();
     this.#options = options;
+    this.#access = new AccessCheck(options);
   }
 
   override get isReady(): boolean {
@@ -124,9 +111,9 @@
   override async submit(req: CallerRequest, spec: SubmissionSpec): Promise<Outcome<void>> {
     const route = this.#findRoute(req);
     if (!route.isOk) return this.#createRefusedOutcome(req, route.answer);
-    const access = this.#authenticate(route.value, req.key);
+    const access = this.#access.authenticate(route.value, req.key);
     if (!access.isOk) return this.#createRefusedOutcome(req, access.answer);
-    const denial = this.#checkOwnership(req, spec, access.value);
+    const denial = this.#access.checkOwnership(req, spec, access.value);
     if (denial) return this.#createRefusedOutcome(req, denial);
     if (!this.#takes(computeEnd(req, route.value))) {
       return this.#createRefusedOutcome(req, this.#createStoppingRefusal());
@@ -167,7 +154,7 @@
 
   async #serve(req: CallerRequest, reply: CallerReply, stop: AbortController): Promise<void> {
     const route = this.#findRoute(req);
-    const access = route.isOk ? this.#authenticate(route.value, req.key) : route;
+    const access = route.isOk ? this.#access.authenticate(route.value, req.key) : route;
     if (!route.isOk || !access.isOk) {
       const answer = route.isOk ? !access.isOk && access.answer : route.answer;
       if (answer) this.#refuse(req, reply, answer);
@@ -195,7 +182,7 @@
       ...(req.resumeAfter !== undefined && { resumeAfter: req.resumeAfter }),
       ...(req.resumes !== undefined && { resumes: req.resumes }),
       findRegions: () => this.#findRegions(req, route.value, access.value.team),
-      mayRun: () => this.#isStillAuthorized(access.value, req.key),
+      mayRun: () => this.#access.isStillGranted(access.value, req.key),
       signal: stop.signal,
     });
     await this.#finish(req, reply, result, stop.signal);
@@ -289,98 +276,26 @@
     if (!current)
       return {
         isOk: false,
-        answer: this.#createUnreadyRefusal(
+        answer: this.#access.createUnreadyRefusal(
           'not_ready',
           'The process has not read a configuration yet.',
         ),
       };
     const route = current.findRoute(req.host, req.path);
     if (route) return { isOk: true, value: route };
-    return { isOk: false, answer: this.#createDenial('route_unknown') };
-  }
-
-  #authenticate(route: ServingRoute | undefined, key: string | undefined): Outcome<CallerAccess> {
-    const { config } = this.#options;
-    const { current } = config;
-    if (!current)
-      return {
-        isOk: false,
-        answer: this.#createUnreadyRefusal(
-          'not_ready',
-          'The process has not read a configuration yet.',
-        ),
-      };
-    const decision = decideAccess({
-      hasTeams: current.needsKeys,
-      isPublic: route?.isPublic ?? false,
-      hasKey: key !== undefined,
-      holder: key === undefined ? undefined : current.findTeam(key)?.name,
-      canTrustKeys: config.canTrustKeys,
-    });
-    if (decision.type === 'granted') return { isOk: true, value: decision.access };
-    const { reason } = decision;
-    if (reason === 'keys_unconfirmed') return { isOk: false, answer: this.#createStaleRefusal() };
-    return { isOk: false, answer: this.#createDenial(reason) };
+    return { isOk: false, answer: this.#access.createDenial('route_unknown') };
   }
 
   /** Finds by what right the results of a submission are read or it is ended. */
   async #authorize(call: SubmissionCall): Promise<Outcome<CallerAccess>> {
-    const access = this.#authenticate(undefined, call.key);
+    const access = this.#access.authenticate(undefined, call.key);
     if (access.isOk || !this.#options.config.current) return access;
     const isUnowned = await this.#options.submissionService.isUnowned(call);
     return isUnowned ? { isOk: true, value: ANONYMOUS } : access;
   }
 
-  /**
-   * Checks that it can be told which team a submission belongs to, and that one of no team has no
-   * items on routes that need a key. Returns the refusal, if any.
-   */
-  #checkOwnership(
-    { key, host }: CallerRequest,
-    { items }: SubmissionSpec,
-    { team, basis }: CallerAccess,
-  ): GatewayAnswer | undefined {
-    if (basis !== 'public' || team !== undefined) return undefined;
-    const { current, canDeny } = this.#options.config;
-    // The team of a key that was added lately may not be read yet.
-    if (key !== undefined && !canDeny) return this.#createStaleRefusal();
-    const isPrivate = ({ path }: ItemSpec): boolean =>
-      current?.findRoute(host, path)?.isPublic === false;
-    if (!items.some(isPrivate)) return undefined;
-    return this.#createDenial(key === undefined ? 'key_missing' : 'key_unknown');
-  }
-
-  /**
-   * Refuses a request for good, after which its caller doesn't try again; or for now, if what is
-   * missing may be in a configuration that wasn't read yet.
-   */
-  #createDenial(code: keyof typeof DENIALS): GatewayAnswer {
-    if (!this.#options.config.canDeny) return this.#createStaleRefusal();
-    return createGatewayAnswer(code, DENIALS[code]);
-  }
-
-  #createStaleRefusal(): GatewayAnswer {
-    const detail = `The configuration was confirmed ${Math.round(this.#options.config.proofAgeMs)} ms ago.`;
-    return this.#createUnreadyRefusal('config_stale', detail);
-  }
-
-  /** Whether a request that was authenticated earlier may still be sent to a target. */
-  #isStillAuthorized({ team, basis }: CallerAccess, key: string | undefined): boolean {
-    const { config } = this.#options;
-    if (basis !== 'key' || key === undefined) return true;
-    return config.canTrustKeys && config.current?.findTeam(key)?.name === team;
-  }
-
   #createStoppingRefusal(): GatewayAnswer {
-    return this.#createUnreadyRefusal('shutting_down', 'The request may last too long.');
-  }
-
-  #createUnreadyRefusal(
-    code: 'not_ready' | 'config_stale' | 'shutting_down',
-    detail: string,
-  ): GatewayAnswer {
-    const retryAfterMs = jitterRetryAfter(OTHER_PROCESS_RETRY_MS, this.#options.random);
-    return createGatewayAnswer(code, detail, { retryAfterMs });
+    return this.#access.createUnreadyRefusal('shutting_down', 'The request may last too long.');
   }
 
   #refuse(req: CallerRequest, reply: CallerReply, answer: GatewayAnswer): void {
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -1,10 +1,12 @@
 /** HTTP requests over pooled connections, of which each carries one request at a time. */
-import { type Socket, connect as connectSocket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import { type Clock, type Metrics, type Millis, onConnectionReset } from '@hibiscushill/base';
 import { type Result, err, ok } from 'neverthrow';
 import { Client, type Dispatcher, buildConnector } from 'undici';
 
+import { findHeaderValues, isDelimited } from './response-framing';
+import { isListening } from './server-probe';
 import type { ResponseFlow } from './target-port';
 
 /** A request to send. */
@@ -62,8 +64,6 @@
   readonly keepAliveMs?: Millis;
 }
 
-// A server in the same region accepts or refuses a connection within a few milliseconds.
-const LISTENING_TIMEOUT_MS = 200;
 // Connections inside a region open within a few milliseconds. After this the peer counts as lost.
 const CONNECT_TIMEOUT_MS = 400;
 // Below the idle time-outs of servers that don't state theirs.
@@ -315,7 +315,7 @@
       typeof part === 'string' ? part : part.toString('latin1'),
     );
     this.#isDelimited = status === 204 || isDelimited(headers);
-    this.#closesConnection = findValues(headers, 'connection')[0] === 'close';
+    this.#closesConnection = findHeaderValues(headers, 'connection')[0] === 'close';
     this.#sink.onHead(status, headers, {
       pause: () => {
         if (!this.#hasEnded) this.#connection.gate?.pause();
@@ -369,36 +369,3 @@
     this.#sink.onError({ wasSent: this.#wasSent, reason });
   }
 }
-
-/** Whether the headers of a response let its end be told from the close of its connection. */
-function isDelimited(headers: readonly string[]): boolean {
-  const coding = findValues(headers, 'transfer-encoding').at(-1);
-  // A body that is coded otherwise than in chunks ends with its connection, whatever its length.
-  if (coding !== undefined) return /(^|[,\s])chunked\s*$/.test(coding);
-  return findValues(headers, 'content-length').length > 0;
-}
-
-/** Lists the values of a header in lower case, of names and values in turn. */
-function findValues(headers: readonly string[], name: string): string[] {
-  return headers
-    .filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name)
-    .map((value) => value.toLowerCase());
-}
-
-/**
- * Tells whether a server accepts connections; true also if that can't be told. The operating system
- * of a killed process closes its connections in order, and refuses new ones.
- */
-function isListening(address: string): Promise<boolean> {
-  const [host = '', port] = address.split(':');
-  return new Promise((resolve) => {
-    const socket = connectSocket({ host, port: Number(port), timeout: LISTENING_TIMEOUT_MS });
-    const settle = (value: boolean): void => {
-      socket.destroy();
-      resolve(value);
-    };
-    socket.once('connect', () => settle(true));
-    socket.once('timeout', () => settle(true));
-    socket.once('error', ({ code }: NodeJS.ErrnoException) => settle(code !== 'ECONNREFUSED'));
-  });
-}
