Refuse calls without a key for now while their submission can't be looked up

What callers could see: 401 for a call about a submission of no team, at a process that could not read the log.

Cause: whether a submission belongs to no team was taken for false while that could not be told.

Failed before: one test of public-submissions.test.ts. After: it passes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -291,7 +291,8 @@
     const access = this.#access.authenticate(undefined, call.key);
     if (access.isOk || !this.#options.config.current) return access;
     const isUnowned = await this.#options.submissionService.isUnowned(call);
-    return isUnowned ? { isOk: true, value: ANONYMOUS } : access;
+    if (!isUnowned.isOk) return isUnowned;
+    return isUnowned.value ? { isOk: true, value: ANONYMOUS } : access;
   }
 
   #createStoppingRefusal(): GatewayAnswer {
--- a/packages/gateway/src/submission-service.ts
+++ b/packages/gateway/src/submission-service.ts
@@ -205,13 +205,15 @@
 
   /**
    * Tells whether a submission belongs to no team, so that no key is needed to read or end it; false
-   * also if it isn't known.
+   * also if there is no such submission, and a refusal while that can't be told.
    */
-  async isUnowned({ submission: id }: SubmissionCall): Promise<boolean> {
+  async isUnowned({ submission: id }: SubmissionCall): Promise<Outcome<boolean>> {
     const { submissions } = this.#options;
-    if (!submissions.find(id)) await this.#catchUp();
+    if (!submissions.find(id) && !(await this.#catchUp())) {
+      return refuse(this.#createStaleRefusal());
+    }
     const submission = submissions.find(id);
-    return submission !== undefined && submission.terms.team === undefined;
+    return { isOk: true, value: submission !== undefined && submission.terms.team === undefined };
   }
 
   async #find(
