Share memory among the bodies of all requests

Callers saw the process end, and with it all open requests, when clients sent many large bodies at once, whole or but for their last byte, in large or very small chunks.

Cause: each body was limited to maxBodyBytes, and all bodies of a process together weren't. Each piece was kept as an object of its own until the body was whole, and the pieces were copied then; the key was checked only after the whole body had arrived.

Change: CallerMemory (packages/routing) shares a part of the machine's memory among requests, from their head to the end of their response. Stalled uploads yield first, then those that take more than the request that needs room; small requests have a part of their own. Bodies are collected in buffers that grow in place and are freed when the request ends, not by a later garbage collection. A body of more than 64 KB is read only once its route and key are known. A request whose deadline passes before it is complete is refused.

--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -79,6 +79,12 @@
   ),
   queue_full: defineCode(2008, 503, "The target's queue is full.", 'Wait, then retry.'),
   store_full: defineCode(2009, 503, "The target's answer store is full.", 'Wait, then retry.'),
+  memory_exhausted: defineCode(
+    2010,
+    503,
+    'The process keeps as many requests in memory as it may.',
+    'Wait, then retry.',
+  ),
   no_target: defineCode(
     3001,
     503,
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -154,6 +154,14 @@
   readonly key: string | undefined;
 }
 
+/** What can be told of a request before its body has arrived. */
+export interface Screening {
+  /** Why it will be refused whatever its body is; undefined if it may be served. */
+  readonly refusal: GatewayAnswer | undefined;
+  /** When it times out; undefined if nothing bounds it. */
+  readonly endsAt: MonoTime | undefined;
+}
+
 /** Handles callers' requests. */
 export abstract class CallerHandler {
   /** Whether load balancers should send callers to this process. */
@@ -162,6 +170,12 @@
   /** Whether a request is a submission, whose body must be decoded for {@link submit}. */
   abstract isSubmission(method: string, host: string, path: string): boolean;
 
+  /** Tells what becomes of a request by its head; its body is empty. */
+  abstract screen(req: CallerRequest): Screening;
+
+  /** Counts and logs a refusal by which a request has ended. */
+  abstract recordRefusal(req: CallerRequest, answer: GatewayAnswer): void;
+
   /** Handles a request other than a submission, and sends its response through the reply. */
   abstract onRequest(req: CallerRequest, reply: CallerReply): void;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
   type Outcome,
   type GatewayAnswer,
   type ResultPage,
+  type Screening,
   type SubmissionCall,
   type SubmissionSpec,
 } from './caller-port';
@@ -95,6 +96,17 @@
     return method === 'POST' && route?.kind === 'rollout';
   }
 
+  override screen(req: CallerRequest): Screening {
+    const route = this.#findRoute(req);
+    if (!route.isOk) return { refusal: route.answer, endsAt: req.deadlineAt };
+    const access = this.#access.authenticate(route.value, req.key);
+    const isBounded = route.value.kind !== 'rollout';
+    return {
+      refusal: access.isOk ? undefined : access.answer,
+      endsAt: isBounded ? computeEnd(req, route.value) : req.deadlineAt,
+    };
+  }
+
   override onRequest(req: CallerRequest, reply: CallerReply): void {
     const stop = new AbortController();
     this.#openRequests.add(stop);
@@ -300,17 +312,16 @@
   }
 
   #refuse(req: CallerRequest, reply: CallerReply, answer: GatewayAnswer): void {
-    this.#recordRefusal(req, answer);
+    this.recordRefusal(req, answer);
     reply.refuse(answer);
   }
 
   #createRefusedOutcome(req: CallerRequest, answer: GatewayAnswer): Outcome<void> {
-    this.#recordRefusal(req, answer);
+    this.recordRefusal(req, answer);
     return { isOk: false, answer };
   }
 
-  /** Counts and logs a refusal. */
-  #recordRefusal(
+  override recordRefusal(
     req: CallerRequest,
     { code, status, run, detail, retryAfterMs, content }: GatewayAnswer,
   ): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,10 +8,19 @@
   GatewayAnswer,
   ResultPage,
   RewardSpec,
+  Screening,
   SubmissionCall,
   SubmissionSpec,
 } from './caller-port';
 
+export {
+  CallerMemory,
+  MAX_SMALL_BYTES,
+  computeCallerMemory,
+  jitterRetryAfter,
+} from '@hibiscushill/routing';
+export type { CallerMemoryLimits, MachineLimits, MemoryClaim } from '@hibiscushill/routing';
+
 export { ConfigTracker } from './config-tracker';
 export type { ConfigTrackerOptions, FreshnessSource } from './config-tracker';
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,6 +16,12 @@
 export { decideAccess, mayAccessWork } from './caller-access';
 export type { AccessBasis, AccessDecision, AccessFacts, CallerAccess } from './caller-access';
 
+export { CallerMemory, MAX_SMALL_BYTES, MemoryClaim, chooseYielding } from './caller-memory';
+export type { ArrivingRequest, CallerMemoryLimits } from './caller-memory';
+
+export { computeCallerMemory } from './machine-shares';
+export type { MachineLimits } from './machine-shares';
+
 export { RendezvousKey } from './rendezvous-key';
 
 export { chooseTargetSubset } from './target-subset';
