Limit the connections of callers and what their heads take

A head that did not end was noticed after up to 30 s, the HTTP server's default interval, whatever headerTimeoutMs said; a body that did not end never was.

A new connection beyond that closes the one on which nothing has happened for the longest and no request is served, so that stalled clients can't shut others out. Incomplete heads are limited together. A body or a response that its caller leaves for idleTimeoutMs ends: a body with 408, which is true since nothing of it was passed on.

--- a/packages/base/src/codes.ts
+++ b/packages/base/src/codes.ts
@@ -40,6 +40,12 @@
   request_invalid: defineCode(1102, 400, 'The request is malformed.', 'Correct the request.'),
   body_too_large: defineCode(1103, 413, 'The body is too large.', 'Send a smaller body.'),
   headers_too_large: defineCode(1104, 431, 'The headers are too large.', 'Send fewer headers.'),
+  request_incomplete: defineCode(
+    1107,
+    408,
+    'The request did not arrive completely in time.',
+    'Send it again, faster.',
+  ),
   team_mismatch: defineCode(1105, 403, "The key's team may not use this.", 'Use the right key.'),
   idempotency_reused: defineCode(
     1106,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,9 +17,18 @@
   CallerMemory,
   MAX_SMALL_BYTES,
   computeCallerMemory,
+  computeConnectionLimits,
+  findLongestInactive,
   jitterRetryAfter,
+  listExcessHeads,
+} from '@hibiscushill/routing';
+export type {
+  CallerMemoryLimits,
+  ConnectionLimits,
+  ConnectionView,
+  MachineLimits,
+  MemoryClaim,
 } from '@hibiscushill/routing';
-export type { CallerMemoryLimits, MachineLimits, MemoryClaim } from '@hibiscushill/routing';
 
 export { ConfigTracker } from './config-tracker';
 export type { ConfigTrackerOptions, FreshnessSource } from './config-tracker';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,8 +19,11 @@
 export { CallerMemory, MAX_SMALL_BYTES, MemoryClaim, chooseYielding } from './caller-memory';
 export type { ArrivingRequest, CallerMemoryLimits } from './caller-memory';
 
-export { computeCallerMemory } from './machine-shares';
-export type { MachineLimits } from './machine-shares';
+export { findLongestInactive, listExcessHeads } from './connection-limit';
+export type { ConnectionView } from './connection-limit';
+
+export { computeCallerMemory, computeConnectionLimits } from './machine-shares';
+export type { ConnectionLimits, MachineLimits } from './machine-shares';
 
 export { RendezvousKey } from './rendezvous-key';
 
