--- a/packages/gateway/src/payload-store.ts
+++ b/packages/gateway/src/payload-store.ts
@@ -29,6 +29,8 @@
 // Values are read soon after they were written, if at all, so that a small cache is enough.
 const MAX_CACHE_BYTES = 4_000_000;
 const MAX_READ_BYTES = 1_000_000;
+// Bounds what an append takes in memory beside the values; the log takes twice this in one call.
+const MAX_APPEND_BYTES = 1_000_000;
 
 /** Writes values to the log, reads them back by reference and caches the newest. */
 export class PayloadStore {
@@ -46,27 +48,48 @@
   }
 
   /**
-   * Writes values in one append.
+   * Writes values, in several appends if they are too large for one.
    *
    * @param payloads - JSON values
-   * @param timeoutMs - the time-out of the append
+   * @param timeoutMs - the time-out of each append
    * @returns their references; a failed append may leave values that nothing refers to
    */
   async put(
     payloads: readonly unknown[],
     timeoutMs: Millis,
   ): Promise<Result<PayloadRef[], Failure>> {
-    const sizes = payloads.map((payload) => JSON.stringify(payload).length + RECORD_OVERHEAD_BYTES);
-    const records: NewRecord[] = payloads.map((payload) => ({
+    const refs: PayloadRef[] = [];
+    while (refs.length < payloads.length) {
+      const appended = await this.#append(payloads.slice(refs.length), timeoutMs);
+      if (appended.isErr()) return err(appended.error);
+      refs.push(...appended.value);
+    }
+    return ok(refs);
+  }
+
+  /** Appends the first values that fit into one call, and at least one. */
+  async #append(
+    payloads: readonly unknown[],
+    timeoutMs: Millis,
+  ): Promise<Result<PayloadRef[], Failure>> {
+    const sizes: number[] = [];
+    let bytes = 0;
+    for (const payload of payloads) {
+      const size = estimateJsonLength(payload) + RECORD_OVERHEAD_BYTES;
+      if (sizes.length > 0 && bytes + size > MAX_APPEND_BYTES) break;
+      sizes.push(size);
+      bytes += size;
+    }
+    const records: NewRecord[] = sizes.map((_, index) => ({
       id: createId<RecordId>(),
       kind: PAYLOAD_KIND,
-      payload,
+      payload: payloads[index],
     }));
     const done = await this.#log.append('texts', records, { timeoutMs });
     return done.map((first) =>
-      payloads.map((payload, index) => {
-        const ref = { offset: first + index, bytes: sizes[index] ?? RECORD_OVERHEAD_BYTES };
-        this.#addToCache(ref.offset, ref.bytes, payload);
+      sizes.map((size, index) => {
+        const ref = { offset: first + index, bytes: size };
+        this.#addToCache(ref.offset, ref.bytes, payloads[index]);
         return ref;
       }),
     );
@@ -121,6 +144,16 @@
   }
 }
 
+/** Estimates the length of a value's JSON text, without creating it. */
+function estimateJsonLength(value: unknown): number {
+  if (typeof value === 'string') return value.length + 2;
+  if (typeof value !== 'object' || value === null) return String(value).length;
+  return Object.entries(value).reduce(
+    (sum, [key, member]) => sum + key.length + 4 + estimateJsonLength(member),
+    2,
+  );
+}
+
 function createMissingError(): Result<LogPage, Failure> {
   return err(
     createFailure('platform_refused', {
--- a/packages/routing/test/connection-limit.test.ts
+++ b/packages/routing/test/connection-limit.test.ts
@@ -38,6 +38,10 @@
       { memoryBytes: 380e6, descriptors: 8_200 },
       { memoryBytes: 602e6, descriptors: 600 },
     ];
-    expect(sizes.map(computeConnectionLimits)).toMatchInlineSnapshot();
+    expect(sizes.map((size) => computeConnectionLimits(size))).toEqual([
+      { connections: 1_437, headBytes: 10_500_000 },
+      { connections: 3_479, headBytes: 19_000_000 },
+      { connections: 200, headBytes: 30_100_000 },
+    ]);
   });
 });
