Count responses until their callers have read them

40 callers that sent 12 requests each and read nothing took 667 MB: each response is below a megabyte and was no longer counted once it was complete, whether or not its caller read it.

Change: a complete response counts against the 32 MB of the process until its last byte has left it.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -23,7 +23,7 @@
   LogTail,
 } from '@hibiscushill/log';
 
-import { LimitShares, SuspectRequests } from '@hibiscushill/routing';
+import { ByteBudget, LimitShares, SuspectRequests } from '@hibiscushill/routing';
 
 import { ColdTargetTracker } from './cold-target-tracker';
 import { ConfigTracker } from './config-tracker';
@@ -136,6 +136,8 @@
 const USAGE_FLUSH_TIMEOUT_MS = 300;
 // How long shutdown waits for reads of the log to end.
 const TAIL_STOP_TIMEOUT_MS = 500;
+// The smallest instances have 210 MB of memory.
+const MAX_RESPONSE_BYTES = 32_000_000;
 const CLEANUP_INTERVAL_MS = 5_000;
 // Used before the first configuration was read, while every request is refused anyway.
 const INITIAL_LIMITS: CallerLimits = {
@@ -149,6 +151,9 @@
 export class GatewayNode {
   readonly gateway: Gateway;
 
+  /** What responses take together until their callers have read them. */
+  readonly responseBuffers = new ByteBudget(MAX_RESPONSE_BYTES);
+
   readonly #options: GatewayNodeOptions;
 
   readonly #logger: Logger;
@@ -407,6 +412,7 @@
       ...this.#options,
       client,
       logger: createPartLogger('gateway.request'),
+      buffers: this.responseBuffers,
       directory: this.#directory,
       limiter: this.#limiter,
       stats: this.#targetStats,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,7 @@
 } from './caller-port';
 
 export {
+  ByteBudget,
   CallerMemory,
   MAX_SMALL_BYTES,
   computeCallerMemory,
@@ -21,6 +22,7 @@
   findLongestInactive,
   jitterRetryAfter,
   listExcessHeads,
+  listStalledResponses,
 } from '@hibiscushill/routing';
 export type {
   CallerMemoryLimits,
@@ -28,6 +30,7 @@
   ConnectionView,
   MachineLimits,
   MemoryClaim,
+  UnreadResponse,
 } from '@hibiscushill/routing';
 
 export { ConfigTracker } from './config-tracker';
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -14,7 +14,7 @@
 } from '@hibiscushill/base';
 import {
   AllowedRegions,
-  ByteBudget,
+  type ByteBudget,
   type RunPermit,
   chooseServiceAtRandom,
   jitterRetryAfter,
@@ -57,9 +57,6 @@
 // A retry is likely to reach another process, which may be able to serve it at once.
 const OTHER_PROCESS_RETRY_MS = 40;
 
-// What is beyond is passed on as it arrives. The smallest instances have 250 MB of memory.
-const MAX_BUFFERED_BYTES = 32_000_000;
-
 const BROKEN_RUNS = 'the connections of targets broke while they ran the request';
 
 // Scoring calls leave these of a target's slots to callers' requests.
@@ -126,6 +123,8 @@
   readonly pacer?: TargetPacer;
   readonly suspects: SuspectExchange;
   readonly streams: StreamExchange;
+  /** What responses take until their callers have read them; what is beyond is passed on as it arrives. */
+  readonly buffers: ByteBudget;
   /** Called for each attempt that a target may have run. */
   readonly onRun: (req: ForwardRequest, at: MonoTime) => void;
 }
@@ -136,8 +135,7 @@
 
   /** @param options - the targets and how to call them */
   constructor(options: ForwarderOptions) {
-    const buffers = new ByteBudget(MAX_BUFFERED_BYTES);
-    this.#options = { ...options, hedges: new HedgeTimer(options), buffers };
+    this.#options = { ...options, hedges: new HedgeTimer(options) };
   }
 
   /**
@@ -170,7 +168,6 @@
 
 type ForwardTaskOptions = ForwarderOptions & {
   readonly hedges: HedgeTimer;
-  readonly buffers: ByteBudget;
 };
 
 /** Forwards one request. */
--- a/packages/gateway/test/request-forwarder.test.ts
+++ b/packages/gateway/test/request-forwarder.test.ts
@@ -11,7 +11,7 @@
   type WallTime,
   type ZoneId,
 } from '@hibiscushill/base';
-import { AllowedRegions } from '@hibiscushill/routing';
+import { AllowedRegions, ByteBudget } from '@hibiscushill/routing';
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import { createContentDigest } from '../src/request-content';
@@ -70,6 +70,7 @@
   limiter = createLimiter(clock);
   suspects = createSuspectExchange(clock);
   forwarder = new RequestForwarder({
+    buffers: new ByteBudget(Infinity),
     clock,
     random,
     metrics,
--- a/packages/gateway/test/reward-caller.test.ts
+++ b/packages/gateway/test/reward-caller.test.ts
@@ -7,6 +7,7 @@
   type TargetId,
   type ZoneId,
 } from '@hibiscushill/base';
+import { ByteBudget } from '@hibiscushill/routing';
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import { ConfigTracker } from '../src/config-tracker';
@@ -110,6 +111,7 @@
   stats.setTargets(targets.map(({ id }) => id));
   const chooser = new LowestLatencyChooser({ stats, zone: 'zone-a' as ZoneId, random });
   const forwarder = new RequestForwarder({
+    buffers: new ByteBudget(Infinity),
     clock,
     random,
     metrics,
--- a/packages/gateway/test/speed-replay.ts
+++ b/packages/gateway/test/speed-replay.ts
@@ -8,6 +8,7 @@
   type TargetId,
   type ZoneId,
 } from '@hibiscushill/base';
+import { ByteBudget } from '@hibiscushill/routing';
 
 import {
   type ForwardResult,
@@ -283,6 +284,7 @@
   registrations.forEach((target) => directory.recordRegistration(target));
   stats.setTargets(registrations.map(({ id }) => id));
   return new RequestForwarder({
+    buffers: new ByteBudget(Infinity),
     ...parts,
     logger,
     directory,
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -12,6 +12,7 @@
   type WeightVersion,
   type ZoneId,
 } from '@hibiscushill/base';
+import { ByteBudget } from '@hibiscushill/routing';
 import { MemoryLog, type NewRecord } from '@hibiscushill/log';
 import type { FencedSender } from '@hibiscushill/control';
 import fc from 'fast-check';
@@ -114,6 +115,7 @@
   const limiter = createLimiter(clock);
   const shared = { clock, metrics, logger, config, submissions, client, limiter };
   const forwarder = new RequestForwarder({
+    buffers: new ByteBudget(Infinity),
     ...shared,
     random,
     directory,
--- a/packages/routing/src/byte-budget.ts
+++ b/packages/routing/src/byte-budget.ts
@@ -27,6 +27,16 @@
     return true;
   }
 
+  /** Takes bytes of something that exists already, also if they exceed what is left. */
+  charge(bytes: number): void {
+    this.#bytes += bytes;
+  }
+
+  /** By how much the bytes that are taken exceed the limit; negative for what is left. */
+  get excessBytes(): number {
+    return this.#bytes - this.#maxBytes;
+  }
+
   /** Gives back bytes that were taken. */
   release(bytes: number): void {
     this.#bytes -= bytes;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,9 @@
 
 export { ByteBudget } from './byte-budget';
 
+export { listStalledResponses } from './unread-responses';
+export type { UnreadResponse } from './unread-responses';
+
 export { decideAccess, mayAccessWork } from './caller-access';
 export type { AccessBasis, AccessDecision, AccessFacts, CallerAccess } from './caller-access';
 
