Limit what the items of open submissions take together

Clients that submitted 30 MB at a time, one submission after the other, ended the process that runs the items: it had all of them in memory, also those of submissions that had been ended, for two minutes.

A large one is refused by its head. One that was accepted before is confirmed as before. Items are forgotten when their submission is no longer open.

--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -170,8 +170,13 @@
   /** Whether a request is a submission, whose body must be decoded for {@link submit}. */
   abstract isSubmission(method: string, host: string, path: string): boolean;
 
-  /** Tells what becomes of a request by its head; its body is empty. */
-  abstract screen(req: CallerRequest): Screening;
+  /**
+   * Tells what becomes of a request by its head.
+   *
+   * @param req - the request, whose body is empty
+   * @param bodyBytes - how much its body will have at least
+   */
+  abstract screen(req: CallerRequest, bodyBytes: number): Screening;
 
   /** Counts and logs a refusal by which a request has ended. */
   abstract recordRefusal(req: CallerRequest, answer: GatewayAnswer): void;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -283,7 +283,7 @@
       config: this.#config,
       submissions: this.#submissions,
       payloads,
-      itemLoader: new ItemLoader(payloads),
+      itemLoader: new ItemLoader(payloads, this.#submissions),
     };
     const submissionService = new SubmissionService({
       ...shared,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,7 @@
 import { createGatewayAnswer } from './gateway-answer';
 import type { ForwardResult, RequestForwarder } from './request-forwarder';
 import type { ServingRoute } from './serving-config';
-import type { ItemId } from './submission';
+import type { ItemId, SubmissionId } from './submission';
 import type { SubmissionService } from './submission-service';
 
 /** The configuration, and what serves requests and submissions. */
@@ -96,15 +96,18 @@
     return method === 'POST' && route?.kind === 'rollout';
   }
 
-  override screen(req: CallerRequest): Screening {
+  override screen(req: CallerRequest, bodyBytes: number): Screening {
     const route = this.#findRoute(req);
     if (!route.isOk) return { refusal: route.answer, endsAt: req.deadlineAt };
     const access = this.#access.authenticate(route.value, req.key);
-    const isBounded = route.value.kind !== 'rollout';
-    return {
-      refusal: access.isOk ? undefined : access.answer,
-      endsAt: isBounded ? computeEnd(req, route.value) : req.deadlineAt,
-    };
+    if (!access.isOk) return { refusal: access.answer, endsAt: req.deadlineAt };
+    // A submission's own time limits apply once it is accepted.
+    if (route.value.kind === 'rollout') {
+      const id = req.id as string as SubmissionId;
+      const refusal = this.#options.submissionService.findRefusal(id, bodyBytes);
+      return { refusal, endsAt: req.deadlineAt };
+    }
+    return { refusal: undefined, endsAt: computeEnd(req, route.value) };
   }
 
   override onRequest(req: CallerRequest, reply: CallerReply): void {
--- a/packages/gateway/src/item-loader.ts
+++ b/packages/gateway/src/item-loader.ts
@@ -3,19 +3,25 @@
 import { type Result, err, ok } from 'neverthrow';
 
 import type { ItemSpec } from './caller-port';
-import type { Submission } from './submission';
+import type { Submission, SubmissionRegistry } from './submission';
 import type { PayloadStore } from './payload-store';
 import { parseItemPart } from './submission-records';
 
-/** Loads the items of submissions and caches them with the submission. */
+/** Loads the items of submissions, and caches those of open ones. */
 export class ItemLoader {
   readonly #payloads: PayloadStore;
 
   readonly #loaded = new WeakMap<Submission, readonly ItemSpec[]>();
 
-  /** @param payloads - the store that holds the items */
-  constructor(payloads: PayloadStore) {
+  /**
+   * @param payloads - the store that holds the items
+   * @param submissions - those whose items are kept while they are open
+   */
+  constructor(payloads: PayloadStore, submissions: SubmissionRegistry) {
     this.#payloads = payloads;
+    submissions.onChanged(({ submission }) => {
+      if (!submission.isOpen) this.#loaded.delete(submission);
+    });
   }
 
   /** Loads a submission's items; a failed load may be tried again. */
@@ -25,7 +31,7 @@
     const parts = await this.#payloads.get(submission.itemPartRefs);
     if (parts.isErr()) return err(parts.error);
     const items = parts.value.flatMap(parseItemPart);
-    this.#loaded.set(submission, items);
+    if (submission.isOpen) this.#loaded.set(submission, items);
     return ok(items);
   }
 }
--- a/packages/gateway/src/submission-records.ts
+++ b/packages/gateway/src/submission-records.ts
@@ -202,7 +202,8 @@
   return parsed.success ? (parsed.data as ItemSpec[]) : [];
 }
 
-function estimateItemBytes(item: ItemSpec): number {
+/** Estimates what an item takes in the log, in bytes. */
+export function estimateItemBytes(item: ItemSpec): number {
   const headers = JSON.stringify(item.headers).length;
   const reward = item.reward ? item.reward.body.length + item.reward.path.length : 0;
   return ITEM_OVERHEAD_BYTES + item.body.length + item.path.length + headers + reward;
--- a/packages/gateway/src/submission-service.ts
+++ b/packages/gateway/src/submission-service.ts
@@ -9,11 +9,18 @@
   type RandomSource,
 } from '@hibiscushill/base';
 import type { Log, LogTail, NewRecord } from '@hibiscushill/log';
-import { type CallerAccess, jitterRetryAfter, mayAccessWork } from '@hibiscushill/routing';
+import { ok } from 'neverthrow';
+import {
+  type CallerAccess,
+  jitterRetryAfter,
+  mayAcceptSubmission,
+  mayAccessWork,
+} from '@hibiscushill/routing';
 
 import type {
   CallerRequest,
   ItemResult,
+  ItemSpec,
   GatewayAnswer,
   Outcome,
   ResultPage,
@@ -36,6 +43,7 @@
   type ListedResult,
   createAcceptedRecord,
   createEndedRecord,
+  estimateItemBytes,
   splitIntoParts,
 } from './submission-records';
 
@@ -50,6 +58,8 @@
 const MAX_READ_AGE_MS = 800;
 const CATCH_UP_TIMEOUT_MS = 700;
 const OTHER_PROCESS_RETRY_MS = 40;
+// Open submissions take some seconds.
+const FULL_RETRY_MS = 1_000;
 // Keeps a page of results with its encoding below a megabyte.
 const MAX_PAGE_BYTES = 900_000;
 
@@ -74,6 +84,9 @@
 export class SubmissionService {
   readonly #options: SubmissionServiceOptions;
 
+  /** What the submissions take that are being written, in bytes. */
+  #pendingBytes = 0;
+
   readonly #wakersById = new Map<SubmissionId, Set<() => void>>();
 
   /** @param options - the log and the submissions read from it */
@@ -100,9 +113,38 @@
     route: ServingRoute,
     access: CallerAccess,
   ): Promise<Outcome<void>> {
-    const { submissions, clock, metrics, config } = this.#options;
+    const { submissions } = this.#options;
     const earlier = submissions.find(spec.id);
     if (earlier) return confirmEarlier(earlier, access);
+    const bytes = spec.items.reduce((sum, item) => sum + estimateItemBytes(item), 0);
+    const refusal = this.findRefusal(spec.id, bytes);
+    if (refusal) return refuse(refusal);
+    this.#pendingBytes += bytes;
+    try {
+      return await this.#accept(req, spec, route, access);
+    } finally {
+      this.#pendingBytes -= bytes;
+    }
+  }
+
+  /** Refuses a submission whose items don't fit beside those of open ones, unless it is one of them. */
+  findRefusal(id: SubmissionId, bytes: number): GatewayAnswer | undefined {
+    const { submissions, random } = this.#options;
+    if (submissions.find(id)) return undefined;
+    const openBytes = submissions.openBytes + this.#pendingBytes;
+    if (mayAcceptSubmission(openBytes, bytes)) return undefined;
+    const retryAfterMs = jitterRetryAfter(FULL_RETRY_MS, random);
+    const detail = 'The items of open submissions take the memory of the process.';
+    return createGatewayAnswer('memory_exhausted', detail, { retryAfterMs });
+  }
+
+  async #accept(
+    req: CallerRequest,
+    spec: SubmissionSpec,
+    route: ServingRoute,
+    access: CallerAccess,
+  ): Promise<Outcome<void>> {
+    const { submissions, clock, metrics, config } = this.#options;
     const terms = {
       id: spec.id,
       team: access.team,
@@ -171,10 +213,13 @@
   ): Promise<Outcome<Uint8Array>> {
     const found = await this.#find(call, access);
     if (!found.isOk) return found;
-    const items = await this.#options.itemLoader.load(found.value);
+    const isUnfinished = (): boolean => found.value.isOpen && !found.value.hasResult(item);
+    const items = isUnfinished()
+      ? await this.#options.itemLoader.load(found.value)
+      : ok<readonly ItemSpec[], Failure>([]);
     if (items.isErr()) return refuse(this.#createStaleRefusal());
     const spec = items.value.find((one) => one.id === item);
-    if (!spec || found.value.isEnded || found.value.hasResult(item)) {
+    if (!spec || !isUnfinished()) {
       return refuse(
         createGatewayAnswer('step_unknown', 'The item has a result or does not exist.'),
       );
--- a/packages/gateway/src/submission.ts
+++ b/packages/gateway/src/submission.ts
@@ -69,6 +69,11 @@
     return this.#isEnded;
   }
 
+  /** What its items take in the log, in bytes. */
+  get itemBytes(): number {
+    return this.itemPartRefs.reduce((sum, { bytes }) => sum + bytes, 0);
+  }
+
   /** Whether it has items without a result and was not ended. */
   get isOpen(): boolean {
     return !this.#isEnded && this.#finishedItems.size < this.terms.itemCount;
@@ -138,6 +143,11 @@
     return [...this.#submissions.values()].filter((one) => one.isOpen);
   }
 
+  /** What the items of all open submissions take, in bytes. */
+  get openBytes(): number {
+    return this.listOpen().reduce((sum, { itemBytes }) => sum + itemBytes, 0);
+  }
+
   /** Applies the next record of the stream; records of other kinds are ignored. */
   apply(record: LogRecord): void {
     const parsed = parseSubmissionRecord(record);
--- a/packages/gateway/test/submission-runner.test.ts
+++ b/packages/gateway/test/submission-runner.test.ts
@@ -129,7 +129,7 @@
   order = itemOrder;
   runner = new SubmissionRunner({
     ...shared,
-    itemLoader: new ItemLoader(payloads),
+    itemLoader: new ItemLoader(payloads, submissions),
     engineTracker,
     rewards: new RewardCaller({ ...shared, forwarder }),
     writer: new ResultWriter({ ...shared, log, payloads }),
--- a/packages/gateway/test/submission-service.test.ts
+++ b/packages/gateway/test/submission-service.test.ts
@@ -85,7 +85,7 @@
     tail,
     submissions,
     payloads,
-    itemLoader: new ItemLoader(payloads),
+    itemLoader: new ItemLoader(payloads, submissions),
   });
 }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,8 @@
 
 export { ByteBudget } from './byte-budget';
 
+export { mayAcceptSubmission } from './submission-admission';
+
 export { listStalledResponses } from './unread-responses';
 export type { UnreadResponse } from './unread-responses';
 
