Limit the bodies that the relay to the log keeps together

Each body that a process relays for others was limited to 4 MB, and all of them together weren't; a larger one closed the connection in place of the 404.

Change: they take 16 MB together, beyond which a call is refused as not executed, and the other process uses another relay. What doesn't fit is dropped.

--- a/packages/log/src/log-relay.ts
+++ b/packages/log/src/log-relay.ts
@@ -10,6 +10,8 @@
 // Shorter than the time that the other process waits for the relay.
 const FORWARD_TIMEOUT_MS = 3_000;
 const MAX_BODY_BYTES = 4_000_000;
+// What the bodies of all requests may take together, from their first byte to their response.
+const MAX_TOTAL_BYTES = 16_000_000;
 
 /**
  * An HTTP server through which other processes reach the log while they can't reach it directly.
@@ -27,6 +29,8 @@
 
   readonly #logger = createLogger('log.relay');
 
+  #bodyBytes = 0;
+
   /**
    * @param transport - sends requests to the log directly
    * @param isAllowedPath - tells which paths are forwarded
@@ -70,27 +74,37 @@
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const path = req.url ?? '/';
     const chunks: Buffer[] = [];
-    let bytes = 0;
+    let keptBytes = 0;
+    let isTooLarge = false;
+    let hasNoRoom = false;
+    res.once('close', () => {
+      this.#bodyBytes -= keptBytes;
+    });
     for await (const chunk of req) {
-      chunks.push(chunk as Buffer);
-      bytes += (chunk as Buffer).length;
-      if (bytes > MAX_BODY_BYTES) break;
-    }
-    if (!this.#isAllowedPath(path) || bytes > MAX_BODY_BYTES) {
-      res.writeHead(404).end();
-      return;
+      const { length } = chunk as Buffer;
+      isTooLarge ||= keptBytes + length > MAX_BODY_BYTES;
+      hasNoRoom ||= this.#bodyBytes + length > MAX_TOTAL_BYTES;
+      // What doesn't fit is read and dropped, so that the connection can carry the response.
+      if (!isTooLarge && !hasNoRoom) {
+        chunks.push(chunk as Buffer);
+        keptBytes += length;
+        this.#bodyBytes += length;
+      }
     }
-    if (!this.#hasDirectAccess()) {
+    const path = req.url ?? '/';
+    if (!this.#isAllowedPath(path) || isTooLarge) res.writeHead(404).end();
+    else if (hasNoRoom || !this.#hasDirectAccess()) {
       res.writeHead(STATUS_SERVICE_UNAVAILABLE).end();
-      return;
-    }
+    } else await this.#forward(req, res, Buffer.concat(chunks));
+  }
+
+  async #forward(req: IncomingMessage, res: ServerResponse, body: Buffer): Promise<void> {
     const forwarded: HttpRequest = {
       method: req.method as HttpRequest['method'],
-      path,
+      path: req.url ?? '/',
       timeoutMs: FORWARD_TIMEOUT_MS,
-      ...(bytes > 0 && { body: Buffer.concat(chunks) }),
+      ...(body.length > 0 && { body }),
     };
     const result = await this.#transport.send(forwarded);
     if (result.isOk()) {
