Let the memory of responses follow that of the machine

Unread responses took 244 MB once on a machine of 210 MB, in a run of platform/test/overload at a load of 17; in six further runs 172 to 206 MB. The 32 MB that responses may take are twice as much while they are put together, and what was read for them is freed only by a garbage collection.

Change: 5% of the machine's memory in place of 32 MB, 10 MB on the smallest. What is beyond is passed on as it arrives, as before.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -23,7 +23,12 @@
   LogTail,
 } from '@hibiscushill/log';
 
-import { ByteBudget, LimitShares, SuspectRequests } from '@hibiscushill/routing';
+import {
+  ByteBudget,
+  LimitShares,
+  SuspectRequests,
+  computeResponseMemory,
+} from '@hibiscushill/routing';
 
 import { ColdTargetTracker } from './cold-target-tracker';
 import { ConfigTracker } from './config-tracker';
@@ -74,6 +79,8 @@
   readonly keepResultsMs: Millis;
   /** For how long a target goes on serving after it said that it is leaving, in milliseconds. */
   readonly drainMs: Millis;
+  /** The memory of the process, in bytes. */
+  readonly memoryBytes: number;
 }
 
 /** The process's identity and bounds, and the ports that it uses. */
@@ -136,8 +143,6 @@
 const USAGE_FLUSH_TIMEOUT_MS = 300;
 // How long shutdown waits for reads of the log to end.
 const TAIL_STOP_TIMEOUT_MS = 500;
-// The smallest instances have 210 MB of memory.
-const MAX_RESPONSE_BYTES = 32_000_000;
 const CLEANUP_INTERVAL_MS = 5_000;
 // Used before the first configuration was read, while every request is refused anyway.
 const INITIAL_LIMITS: CallerLimits = {
@@ -152,7 +157,7 @@
   readonly gateway: Gateway;
 
   /** What responses take together until their callers have read them. */
-  readonly responseBuffers = new ByteBudget(MAX_RESPONSE_BYTES);
+  readonly responseBuffers: ByteBudget;
 
   readonly #options: GatewayNodeOptions;
 
@@ -201,6 +206,7 @@
   constructor(options: GatewayNodeOptions) {
     this.#options = options;
     const { clock, metrics, random, log, bounds } = options;
+    this.responseBuffers = new ByteBudget(computeResponseMemory(bounds));
     const rateLimiter = new LogRateLimiter({ clock, linesPerSecond: options.logLinesPerSecond });
     const createPartLogger = (prefix: string): Logger => rateLimiter.wrap(createLogger(prefix));
     this.#logger = createPartLogger('gateway.node');
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -27,7 +27,11 @@
 export { findLongestInactive, listExcessHeads } from './connection-limit';
 export type { ConnectionView } from './connection-limit';
 
-export { computeCallerMemory, computeConnectionLimits } from './machine-shares';
+export {
+  computeCallerMemory,
+  computeConnectionLimits,
+  computeResponseMemory,
+} from './machine-shares';
 export type { ConnectionLimits, MachineLimits } from './machine-shares';
 
 export { RendezvousKey } from './rendezvous-key';
--- a/packages/routing/src/machine-shares.ts
+++ b/packages/routing/src/machine-shares.ts
@@ -10,6 +10,8 @@
 // What remains holds the program itself, responses, and what the process keeps of the log.
 const SMALL_REQUESTS_FRACTION = 0.04;
 const LARGE_REQUESTS_FRACTION = 0.16;
+// Twice this is used for a moment while responses are put together.
+const RESPONSES_FRACTION = 0.05;
 const CONNECTIONS_FRACTION = 0.15;
 const HEADS_FRACTION = 0.05;
 // What an idle connection takes, with the buffers of the HTTP parser.
@@ -59,3 +61,13 @@
     largeBytes: Math.max(memoryBytes * LARGE_REQUESTS_FRACTION, maxBodyBytes),
   };
 }
+
+/**
+ * Computes how much memory responses may take together until their callers have read them.
+ *
+ * @param machine - the limits of the machine
+ * @returns bytes
+ */
+export function computeResponseMemory({ memoryBytes }: Pick<MachineLimits, 'memoryBytes'>): number {
+  return memoryBytes * RESPONSES_FRACTION;
+}
