--- a/packages/log/src/log-relay.ts
+++ b/packages/log/src/log-relay.ts
@@ -1,7 +1,7 @@
 /** Forwards requests of other processes to the log. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 
-import { createLogger } from '@hibiscushill/base';
+import { type Metrics, createLogger } from '@hibiscushill/base';
 
 import { type HttpRequest, type HttpTransport } from './http-transport';
 
@@ -27,6 +27,8 @@
 
   readonly #hasDirectAccess: () => boolean;
 
+  readonly #metrics: Metrics | undefined;
+
   readonly #logger = createLogger('log.relay');
 
   #bodyBytes = 0;
@@ -36,15 +38,18 @@
    * @param isAllowedPath - tells which paths are forwarded
    * @param hasDirectAccess - tells whether this process reaches the log directly; while it doesn't,
    *   requests are refused at once
+   * @param metrics - counts the requests that are refused since others take the memory
    */
   constructor(
     transport: HttpTransport,
     isAllowedPath: (path: string) => boolean,
     hasDirectAccess: () => boolean,
+    metrics?: Metrics,
   ) {
     this.#transport = transport;
     this.#isAllowedPath = isAllowedPath;
     this.#hasDirectAccess = hasDirectAccess;
+    this.#metrics = metrics;
     this.#server = http.createServer((req, res) => {
       void this.#serve(req, res).catch((error: unknown) => {
         this.#logger.warn('Relaying a request to the log failed.', { error: String(error) });
@@ -93,6 +98,7 @@
       }
     }
     const path = req.url ?? '/';
+    if (hasNoRoom) this.#metrics?.count('relay.no_room');
     if (!this.#isAllowedPath(path) || isTooLarge) res.writeHead(404).end();
     else if (hasNoRoom || !this.#hasDirectAccess()) {
       res.writeHead(STATUS_SERVICE_UNAVAILABLE).end();
