Count relayed responses until their callers have read them

Cause: the collected part of a response counts against the memory of responses until its relay to the caller begins. Then up to a megabyte was written to the caller's connection and counted no more, whether or not the caller read; the next response could take the same room again.

Change: what was written of a response counts until the connection has drained, as for complete responses; stalled ones are given up alike.

--- a/packages/routing/src/unread-responses.ts
+++ b/packages/routing/src/unread-responses.ts
@@ -1,11 +1,11 @@
 /** Which responses are given up that their callers don't read. */
 import type { Millis, MonoTime } from '@hibiscushill/base';
 
-/** A response that is complete, and of which its caller hasn't read all. */
+/** A response of which its caller hasn't read what was written. */
 export interface UnreadResponse {
   readonly bytes: number;
-  /** When it was complete. */
-  readonly sentAt: MonoTime;
+  /** Since when it hasn't. */
+  readonly since: MonoTime;
 }
 
 // Callers read a response of a megabyte within this time on any link of the platform.
@@ -16,7 +16,7 @@
  * callers send many requests and read no response; each response is small, and all of them together
  * aren't. Only those that were left unread for long are given up, the oldest first.
  *
- * @param unread - the responses in the order in which they were complete
+ * @param unread - the responses, those that are unread for the longest time first
  * @param excessBytes - by how much they exceed the memory
  * @param now - the current time
  */
@@ -28,7 +28,7 @@
   const stalled: T[] = [];
   let leftBytes = excessBytes;
   for (const one of unread) {
-    if (leftBytes <= 0 || now - one.sentAt < STALLED_MS) break;
+    if (leftBytes <= 0 || now - one.since < STALLED_MS) break;
     stalled.push(one);
     leftBytes -= one.bytes;
   }
--- a/packages/routing/test/unread-responses.test.ts
+++ b/packages/routing/test/unread-responses.test.ts
@@ -3,9 +3,9 @@
 
 import { ByteBudget, listStalledResponses } from '../src';
 
-const unread = [1_000, 2_000, 4_500].map((sentAt) => ({
+const unread = [1_000, 2_000, 4_500].map((since) => ({
   bytes: 900_000,
-  sentAt: sentAt as MonoTime,
+  since: since as MonoTime,
 }));
 
 describe('the unread responses that are given up', () => {
@@ -15,7 +15,7 @@
     ['none that callers may still be reading', 5_000_000, [1_000, 2_000]],
   ])('are %s', (_, excessBytes, expected) => {
     const stalled = listStalledResponses(unread, excessBytes, 5_000 as MonoTime);
-    expect(stalled.map(({ sentAt }) => sentAt)).toEqual(expected);
+    expect(stalled.map(({ since }) => since)).toEqual(expected);
   });
 });
 
