Free collected responses when they were sent

Cause: the parts of a response were kept as they were read until all had arrived, and then copied into one buffer. Both outlived the scavenges of the heap and waited for a collection of the old generation, which V8 starts for external memory only after it has grown by tens of megabytes.

Change: parts are copied as they arrive into a buffer that grows in place (GrowingBuffer, now in packages/base) and is freed when the response was sent or its attempt cancelled. What has no room stays in its own parts.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,4 @@
-/** Clocks, branded ids, result codes, settings, logs, metrics, connections and random numbers. */
+/** Clocks, branded ids, result codes, settings, logs, metrics, connections, buffers and random numbers. */
 export { Clock, ManualClock, SystemClock } from './clock';
 export type { Millis, MonoTime, WallTime } from './clock';
 
@@ -39,6 +39,8 @@
 export { createLogger } from './logger';
 export type { LogFields, Logger } from './logger';
 
+export { GrowingBuffer } from './growing-buffer';
+
 export { onConnectionReset } from './connection-reset';
 
 export { HOP_BY_HOP_HEADERS } from './hop-by-hop-headers';
--- a/platform/test/growing-buffer.test.ts
+++ b/packages/base/test/growing-buffer.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { GrowingBuffer } from '../src/growing-buffer';
+import { GrowingBuffer } from '../src';
 
 const MAX_BYTES = 300_000;
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt to run a request at one target. */
-import type { Clock, Millis, MonoTime } from '@hibiscushill/base';
+import { type Clock, GrowingBuffer, type Millis, type MonoTime } from '@hibiscushill/base';
 import {
   type ByteBudget,
   type ResponseEnd,
@@ -27,9 +27,17 @@
 // A larger response is streamed to the caller as it arrives, which bounds the memory it takes.
 const MAX_BUFFER_BYTES = 1_000_000;
 
+/** A response of which all has arrived. */
+export interface CompleteResponse {
+  readonly head: TargetResponseHead;
+  readonly body: Buffer;
+  /** Frees the memory of the body, which is empty from then on. */
+  readonly release: () => void;
+}
+
 /** How an attempt ended; after `lost`, the target may have run the request. */
 export type AttemptResult =
-  | { readonly type: 'answered'; readonly head: TargetResponseHead; readonly body: Buffer }
+  | ({ readonly type: 'answered' } & CompleteResponse)
   | { readonly type: 'streaming'; readonly head: TargetResponseHead }
   | { readonly type: 'not-run'; readonly reason: string }
   | { readonly type: 'lost'; readonly reason: string };
@@ -80,9 +88,11 @@
   /** Ends the wait for the deadline of a response that is being relayed. */
   #deadlineStop: AbortController | undefined;
 
-  #chunks: Buffer[] = [];
+  /** What was collected; it is freed when it was passed on rather than by a garbage collection. */
+  readonly #body = new GrowingBuffer(MAX_BUFFER_BYTES);
 
-  #bytes = 0;
+  /** What arrived after it and has no room in it. */
+  #overflow: Buffer[] = [];
 
   /** How many of these bytes count against the budget. */
   #budgetedBytes = 0;
@@ -131,6 +141,7 @@
     if (this.#hasEnded) return;
     this.#finish('unknown');
     this.#abort();
+    if (!this.#reply) this.#body.release();
     this.#resolve({ type: 'lost', reason: 'cancelled' });
   }
 
@@ -155,8 +166,7 @@
     this.#reply = reply;
     this.#onRelayEnd = onEnd;
     reply.startResponse(this.#head);
-    const isWritable = this.#chunks.map((chunk) => reply.write(chunk)).at(-1) ?? true;
-    this.#chunks = [];
+    const isWritable = this.#writeCollected(reply);
     this.#releaseBuffers();
     if (this.#endBeforeRelay) {
       this.#endRelay(this.#endBeforeRelay.reason);
@@ -190,14 +200,15 @@
       if (!this.#reply.write(chunk)) this.#pause();
       return;
     }
-    this.#chunks.push(chunk);
-    this.#bytes += chunk.length;
-    const isKept = this.#options.buffers.take(chunk.length);
-    if (isKept) this.#budgetedBytes += chunk.length;
-    if ((!isKept || this.#bytes > MAX_BUFFER_BYTES) && this.#head) {
-      this.#pause();
-      this.#resolve({ type: 'streaming', head: this.#head });
+    if (this.#hasRoom(chunk.length) && this.#options.buffers.take(chunk.length)) {
+      this.#budgetedBytes += chunk.length;
+      this.#body.add(chunk);
+      return;
     }
+    this.#overflow.push(chunk);
+    if (!this.#head) return;
+    this.#pause();
+    this.#resolve({ type: 'streaming', head: this.#head });
   }
 
   override onEnd(end: ResponseEnd): void {
@@ -218,7 +229,8 @@
     if (hasNotRun) {
       this.#resolve({ type: 'not-run', reason: `status ${head.status}` });
     } else {
-      this.#resolve({ type: 'answered', head, body: Buffer.concat(this.#chunks) });
+      const body = this.#body.toBuffer();
+      this.#resolve({ type: 'answered', head, body, release: () => this.#body.release() });
     }
     this.#endRelay(undefined);
   }
@@ -231,6 +243,19 @@
     this.#endRelay(failure.reason);
   }
 
+  #hasRoom(bytes: number): boolean {
+    return this.#overflow.length === 0 && this.#body.bytes + bytes <= MAX_BUFFER_BYTES;
+  }
+
+  /** Returns false if the caller reads more slowly than this is written. */
+  #writeCollected(reply: CallerReply): boolean {
+    const body = this.#body.toBuffer();
+    const isWritable = body.length === 0 || reply.write(body, () => this.#body.release());
+    const results = this.#overflow.map((chunk) => reply.write(chunk));
+    this.#overflow = [];
+    return results.at(-1) ?? isWritable;
+  }
+
   #pause(): void {
     this.#isPaused = true;
     this.#flow?.pause();
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -60,16 +60,22 @@
   /** Registers a function that is called if the caller disconnects before the response's end. */
   abstract onDisconnected(handle: () => void): void;
 
-  /** Sends a target's complete response. */
-  abstract sendResponse(head: TargetResponseHead, body: Buffer): void;
+  /**
+   * Sends a target's complete response.
+   *
+   * @param onSent - called when the body is no longer needed, also if it wasn't sent
+   */
+  abstract sendResponse(head: TargetResponseHead, body: Buffer, onSent: () => void): void;
 
   /** Starts to stream a target's response; {@link write} sends its body. */
   abstract startResponse(head: TargetResponseHead): void;
 
   /**
    * Sends a part of the body; returns false if the caller reads more slowly than the target writes.
+   *
+   * @param onSent - called when the part is no longer needed, also if it wasn't sent
    */
-  abstract write(chunk: Buffer): boolean;
+  abstract write(chunk: Buffer, onSent?: () => void): boolean;
 
   /** Registers a function that is called when a further part can be written after `false`. */
   abstract onWritable(handle: () => void): void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -248,7 +248,7 @@
       tookMs: Math.round(tookMs),
       configVersion: this.#options.config.current?.version,
     });
-    if (result.type === 'answered') reply.sendResponse(result.head, result.body);
+    if (result.type === 'answered') reply.sendResponse(result.head, result.body, result.release);
     else await this.#stream(req, reply, result, signal);
   }
 
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -21,7 +21,7 @@
   listServing,
 } from '@hibiscushill/routing';
 
-import { Attempt, type AttemptEnd, type AttemptResult } from './attempt';
+import { Attempt, type AttemptEnd, type AttemptResult, type CompleteResponse } from './attempt';
 import type { GatewayAnswer } from './caller-port';
 import { createGatewayAnswer } from './gateway-answer';
 import { type HedgeTargets, HedgeTimer, type ListTargets } from './hedge-timer';
@@ -98,12 +98,7 @@
 
 /** How a forwarded request ended, or that its response is a stream that has begun. */
 export type ForwardResult =
-  | {
-      readonly type: 'answered';
-      readonly target: TargetId;
-      readonly head: TargetResponseHead;
-      readonly body: Buffer;
-    }
+  | ({ readonly type: 'answered'; readonly target: TargetId } & CompleteResponse)
   | { readonly type: 'streaming'; readonly attempt: Attempt; readonly head: TargetResponseHead }
   | { readonly type: 'refused'; readonly answer: GatewayAnswer }
   | { readonly type: 'cancelled' };
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -18,6 +18,8 @@
 
   bytes = 0;
 
+  text = '';
+
   wasAborted = false;
 
   override onDisconnected(): void {}
@@ -28,6 +30,7 @@
 
   override write(chunk: Buffer): boolean {
     this.bytes += chunk.length;
+    if (chunk.length < LARGE.length) this.text += chunk.toString();
     return true;
   }
 
@@ -86,6 +89,37 @@
   });
 });
 
+describe('a response that is collected', () => {
+  it('is passed on in order with the parts that had no room', async () => {
+    const client = new ManualClient();
+    const attempt = startAttempt(new ManualClock(), client, new ByteBudget(10));
+    const reply = new FastReply();
+    const { call, sink } = client.calls[0]!;
+    sink.onHead(createHead(call.id));
+    ['first,', 'second,', 'x,'].forEach((part) => sink.onData(Buffer.from(part)));
+    await attempt.result;
+    attempt.relayTo(reply, () => undefined);
+    sink.onData(Buffer.from('last'));
+    expect(reply.text).toBe('first,second,x,last');
+  });
+
+  it('takes no memory once its body was released', async () => {
+    const client = new ManualClient();
+    const attempt = startAttempt(new ManualClock(), client);
+    const { call, sink } = client.calls[0]!;
+    sink.onHead(createHead(call.id));
+    sink.onData(Buffer.alloc(400_000, 'x'));
+    sink.onData(Buffer.alloc(400_000, 'y'));
+    sink.onEnd(DELIMITED);
+    const result = await attempt.result;
+    if (result.type !== 'answered') throw new Error(`the attempt ended as ${result.type}`);
+    const { buffer } = result.body;
+    expect([result.body.at(0), result.body.at(-1)]).toEqual([120, 121]);
+    result.release();
+    expect([result.body.length, buffer.byteLength]).toEqual([0, 0]);
+  });
+});
+
 // Issue 59, a report from another operator: bodies without end filled the memory of their caller.
 describe('the responses of many requests at once', () => {
   const PART = Buffer.alloc(900_000);
