--- a/packages/base/src/growing-buffer.ts
+++ b/packages/base/src/growing-buffer.ts
@@ -45,6 +45,14 @@
     this.#bytes += part.length;
   }
 
+  /** Adds what a text encodes as Base64; it must fit into the largest size. */
+  addBase64(text: string): void {
+    const bytes = Buffer.byteLength(text, 'base64');
+    const size = this.findSize(bytes);
+    if (size > this.#buffer.length) this.#growTo(size);
+    this.#bytes += this.#buffer.write(text, this.#bytes, bytes, 'base64');
+  }
+
   /** The bytes that were added, as a view that is empty after the release. */
   toBuffer(): Buffer {
     return this.#buffer.subarray(0, this.#bytes);
--- a/packages/base/test/growing-buffer.test.ts
+++ b/packages/base/test/growing-buffer.test.ts
@@ -18,6 +18,14 @@
     );
   });
 
+  it('holds what a text encodes', () => {
+    const bytes = Buffer.alloc(100_000, 'bytes');
+    const buffer = new GrowingBuffer(MAX_BYTES);
+    buffer.add(Buffer.from('first '));
+    buffer.addBase64(bytes.toString('base64'));
+    expect(buffer.toBuffer().equals(Buffer.concat([Buffer.from('first '), bytes]))).toBe(true);
+  });
+
   it('is empty after its release', () => {
     const buffer = new GrowingBuffer(MAX_BYTES);
     buffer.add(Buffer.alloc(MAX_BYTES, 'x'));
--- a/packages/gateway/src/caller-port.ts
+++ b/packages/gateway/src/caller-port.ts
@@ -200,8 +200,8 @@
     waitMs: Millis,
   ): Promise<Outcome<ResultPage>>;
 
-  /** Reads the request body of an item that has no result yet. */
-  abstract readBody(call: SubmissionCall, item: ItemId): Promise<Outcome<Uint8Array>>;
+  /** Reads the request body of an item that has no result yet, as Base64. */
+  abstract readBody(call: SubmissionCall, item: ItemId): Promise<Outcome<string>>;
 
   /** Ends a submission, so that its remaining items aren't run. */
   abstract endSubmission(call: SubmissionCall): Promise<Outcome<void>>;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,7 +155,7 @@
     return submissionService.readResults(call, access.value, after, maxWaitMs);
   }
 
-  override async readBody(call: SubmissionCall, item: ItemId): Promise<Outcome<Uint8Array>> {
+  override async readBody(call: SubmissionCall, item: ItemId): Promise<Outcome<string>> {
     const access = await this.#authorize(call);
     if (!access.isOk) return access;
     return this.#options.submissionService.readBody(call, access.value, item);
--- a/packages/gateway/src/submission-service.ts
+++ b/packages/gateway/src/submission-service.ts
@@ -205,12 +205,12 @@
     return this.#createPage(submission, after);
   }
 
-  /** Reads the request body of an item that has no result yet. */
+  /** Reads the request body of an item that has no result yet, as Base64. */
   async readBody(
     call: SubmissionCall,
     access: CallerAccess,
     item: ItemId,
-  ): Promise<Outcome<Uint8Array>> {
+  ): Promise<Outcome<string>> {
     const found = await this.#find(call, access);
     if (!found.isOk) return found;
     const isUnfinished = (): boolean => found.value.isOpen && !found.value.hasResult(item);
@@ -224,7 +224,7 @@
         createGatewayAnswer('step_unknown', 'The item has a result or does not exist.'),
       );
     }
-    return { isOk: true, value: Buffer.from(spec.body, 'base64') };
+    return { isOk: true, value: spec.body };
   }
 
   /**
