--- a/packages/log/src/http-transport.ts
+++ b/packages/log/src/http-transport.ts
@@ -101,7 +101,10 @@
         signal,
         ...encodeBody(req.body),
       });
-      const body = await res.body.bytes();
+      const length = res.headers['content-length'];
+      const body = await (length === undefined
+        ? res.body.bytes()
+        : readBody(res.body, Number(length)));
       return ok(createResponse(res.statusCode, res.headers['retry-after'], body));
     } catch (error) {
       if (deadline.aborted) this.#replacePool(pool);
@@ -127,6 +130,20 @@
   }
 }
 
+/**
+ * Reads a body of a known length. What arrives is copied at once, so that the parts of a large body
+ * don't stay in memory beside the whole.
+ */
+async function readBody(parts: AsyncIterable<Uint8Array>, bytes: number): Promise<Uint8Array> {
+  const body = Buffer.allocUnsafeSlow(bytes);
+  let position = 0;
+  for await (const part of parts) {
+    body.set(part, position);
+    position += part.length;
+  }
+  return body;
+}
+
 /**
  * Creates a response.
  *
