--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,4 @@
-/** Clocks, branded ids, result codes, settings, logs, metrics, connections, buffers and random numbers. */
+/** Clocks, ids, result codes, settings, logs, metrics, connections, buffers and random numbers. */
 export { Clock, ManualClock, SystemClock } from './clock';
 export type { Millis, MonoTime, WallTime } from './clock';
 
