--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,6 +2,6 @@
 # Builds the stand-ins and the cases of the third review into target/review-3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-npx esbuild review/standins-3/case-*.ts review/standins-3/replica-process.ts \
+node_modules/.bin/esbuild review/standins-3/case-*.ts review/standins-3/replica-process.ts \
   --bundle --platform=node --target=node20 --format=esm --out-extension:.js=.mjs \
   --outdir=target/review-3 --log-level=warning
--- a/review/standins-3/deployment.ts
+++ b/review/standins-3/deployment.ts
@@ -499,6 +499,12 @@
   const deployment = new Deployment(recorder.record, options);
   let exitCode = 2;
   let outcome = '';
+  // A case that is stopped early ends its processes as well.
+  ['SIGINT', 'SIGTERM'].forEach((signal) =>
+    process.once(signal, () => {
+      void deployment.stop().then(() => process.exit(2));
+    }),
+  );
   try {
     await deployment.start();
     const breaks = await play(deployment, hasTrouble);
