--- a/review/standins-3/case-12.ts
+++ b/review/standins-3/case-12.ts
@@ -1,82 +1,100 @@
-/** The holder of the duty is killed while a submission is open that is older than the log's history. */
+/** Replicas that leave are gone two seconds after their notice, with answers on their way. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { MODEL, MODEL_SERVICE, readResults, runCase, submit } from './deployment';
+import {
+  type Answer,
+  MODEL,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  call,
+  readAllResults,
+  runCase,
+  submit,
+  waitUntil,
+} from './deployment';
+import { createData, createPart } from './replica';
 
 const SUBMISSION = '7c41e09b52d6a3f8';
-const HISTORY_S = Number(process.env.HISTORY_S ?? 20);
-const REPLICAS = 2;
-const SLOTS = 2;
-const EVENTS = 20;
-const EVENT_MS = 200;
-const ITEM_S = (EVENTS * EVENT_MS) / 1_000;
-// All items take 28 s longer than the history lasts.
-const ITEMS = Math.ceil((HISTORY_S + 28) / ITEM_S) * REPLICAS * SLOTS;
-const KILL_AFTER_S = HISTORY_S + 6;
-const DOWN_MS = 1_000;
-// How long the bounds `contactMs` and `settleMs` are, and how long an item may be at no replica.
-const CONTACT_MS = 3_000;
-const IDLE_MS = 5_000;
-const POLL_MS = 500;
+const REPLICAS = 6;
+const ITEMS = 36;
+const REQUESTS = 12;
+// Texts of 4 s, plain answers of 3 s.
+const EVENTS = 100;
+const LINES = 75;
+const EVENT_MS = 40;
+const NOTICE_MS = 2_000;
 
-await runCase({ storeLimits: { retentionS: HISTORY_S } }, async (deployment, hasTrouble) => {
+function describe(kind: string, id: string, answer: Answer): string {
+  const received = answer.body.split(kind === 'stream' ? '\n\n' : '\n').length - 1;
+  return `${kind} ${id}: ${answer.status}, ${received} parts, whole: ${answer.isWhole}`;
+}
+
+await runCase({}, async (deployment, hasTrouble) => {
   const { record } = deployment;
-  let running = 0;
-  let idleSince = Date.now();
-  const begun = new Set<string>();
-  const addReplica = async (index: number): Promise<void> => {
-    const replica = await deployment.addReplica(MODEL_SERVICE, {
-      id: `i-model-${index}`,
-      slots: SLOTS,
-      models: [MODEL],
-      events: EVENTS,
-      eventMs: EVENT_MS,
+  const models = [];
+  const plain = [];
+  for (let index = 1; index <= REPLICAS; index += 1) {
+    const common = { slots: 8, eventMs: EVENT_MS, isUnframed: true };
+    const model = { ...common, id: `i-model-${index}`, models: [MODEL], events: EVENTS };
+    models.push(await deployment.addReplicaProcess(MODEL_SERVICE, model));
+    const desk = { ...common, id: `i-desk-${index}`, models: [], events: LINES };
+    plain.push(await deployment.addReplicaProcess(PLAIN_SERVICE, desk));
+  }
+  const first = await deployment.addProgram('edge-ba-1', 'ba');
+  const second = await deployment.addProgram('edge-nadi-1', 'nadi');
+  await deployment.findHolder();
+  const submitted = await submit(first.front, SUBMISSION, ITEMS);
+  record(`submission ${SUBMISSION} of ${ITEMS} items: ${submitted.status}`);
+  const send = (path: string, id: string): Promise<Answer> =>
+    call(second.front, {
+      method: 'POST',
+      path,
+      headers: { 'Attempt-Id': id, 'Deadline-Ms': '9000' },
+      body: id,
+    });
+  const ids = Array.from({ length: REQUESTS }, (_, index) => `${index}`);
+  const streams = ids.map((id) => send('/vedo811/s', `stream-${id}`));
+  const lookups = ids.map((id) => send('/lohu930/2f', `lookup-${id}`));
+  await sleep(800);
+  const leaving = [models[0]!, plain[0]!];
+  leaving.forEach(({ id, registration }) => {
+    record(`${id} reports that it is draining`);
+    registration.drain();
+  });
+  await sleep(NOTICE_MS);
+  if (hasTrouble) {
+    leaving.forEach(({ id, registration, kill }) => {
+      record(`${id} is gone`);
+      kill();
+      registration.remove();
     });
-    replica.answer = async (run) => {
-      running += 1;
-      begun.add(run.id);
-      await replica.sendWhole(run);
-      running -= 1;
-      idleSince = Date.now();
-    };
+  }
+  const breaks: string[] = [];
+  const check = (kind: string, id: string, answer: Answer, whole: string): void => {
+    const text = describe(kind, id, answer);
+    record(text);
+    const looksWhole = answer.status === 200 && answer.isWhole;
+    if (looksWhole && answer.body !== whole) breaks.push(`MIXED: ${text}`);
   };
-  for (let index = 1; index <= REPLICAS; index += 1) await addReplica(index);
-  const programs = [
-    await deployment.addProgram('edge-ba-1', 'ba'),
-    await deployment.addProgram('edge-nadi-1', 'nadi'),
-  ];
-  const holder = await deployment.findHolder();
-  const { status } = await submit(programs[0]!.front, SUBMISSION, ITEMS);
-  const acceptedAt = Date.now();
-  record(`submission ${SUBMISSION} of ${ITEMS} items: ${status}`);
-  const breaks = new Set<string>();
-  let restartedAt = -Infinity;
-  let hasKilled = false;
-  let read = 0;
-  const endsAt = acceptedAt + (KILL_AFTER_S + 45) * 1_000;
-  while (Date.now() < endsAt && read < ITEMS) {
-    if (hasTrouble && !hasKilled && Date.now() > acceptedAt + KILL_AFTER_S * 1_000) {
-      hasKilled = true;
-      record(`${holder.name} holds the duty`);
-      await holder.kill();
-      await sleep(DOWN_MS);
-      await holder.start();
-      restartedAt = Date.now();
-    }
-    for (const { name, front } of programs) {
-      const page = await readResults(front, SUBMISSION, read);
-      record(`${name} answers ${page.status}, ${page.results?.length ?? 0} after ${read}`);
-      read += page.results?.length ?? 0;
-      const isInTouch = Date.now() > restartedAt + CONTACT_MS;
-      if (page.status === 404 && isInTouch) breaks.add(`LOST: ${name} answers 404`);
-    }
-    const isIdle = running === 0 && Date.now() - idleSince > IDLE_MS;
-    const isCalm = Date.now() > restartedAt + CONTACT_MS + IDLE_MS;
-    if (isIdle && isCalm && begun.size < ITEMS) {
-      breaks.add(`LOST: of ${ITEMS} items, ${ITEMS - begun.size} are at no replica`);
-    }
-    await sleep(POLL_MS);
+  const createWhole = (id: string, isStream: boolean, count: number): string =>
+    Array.from({ length: count }, (_, index) => createPart({ id, isStream }, index + 1)).join('');
+  for (const [index, answer] of (await Promise.all(streams)).entries()) {
+    const id = `stream-${index}`;
+    check('stream', id, answer, createWhole(id, true, EVENTS));
+  }
+  for (const [index, answer] of (await Promise.all(lookups)).entries()) {
+    const id = `lookup-${index}`;
+    check('lookup', id, answer, createWhole(id, false, LINES));
   }
-  record(`${read} of ${ITEMS} results were read, ${begun.size} items began`);
-  return [...breaks];
+  await waitUntil(async () => {
+    const results = await readAllResults(second.front, SUBMISSION);
+    return results.length === ITEMS;
+  }, 20_000);
+  (await readAllResults(second.front, SUBMISSION)).forEach(({ id, state, output }) => {
+    const whole = Array.from({ length: EVENTS }, (_, index) => createData(id, index + 1));
+    const text = `item ${id}: ${state}, ${output.split('\n').length} of ${EVENTS} events`;
+    record(text);
+    if (state === 'complete' && output !== whole.join('\n')) breaks.push(`MIXED: ${text}`);
+  });
+  return breaks;
 });
