--- a/review/standins-3/deployment.ts
+++ b/review/standins-3/deployment.ts
@@ -20,6 +20,7 @@
 const ITEM_PATH = '/pule252/3/91c4';
 const STORE_LIMITS: StoreLimits = {
   retentionS: 300,
+  partMb: 200,
   recordBytes: 262_144,
   callBytes: 2_097_152,
 };
@@ -118,10 +119,19 @@
   readonly output: string;
 }
 
-/** Submits a batch of items, four of which share a group. */
-export function submit(address: string, id: string, count: number): Promise<Answer> {
+/**
+ * Submits a batch of items, four of which share a group.
+ *
+ * @param createItemId - creates the id of an item from its number
+ */
+export function submit(
+  address: string,
+  id: string,
+  count: number,
+  createItemId = (index: number): string => `${id}-${index}`,
+): Promise<Answer> {
   const items = Array.from({ length: count }, (_, index) => ({
-    id: `${id}-${index}`,
+    id: createItemId(index),
     path: ITEM_PATH,
     headers: { Model: MODEL, 'Token-Counts': '540,400' },
     body: Buffer.from(`prompt ${index}`).toString('base64'),
--- a/review/standins-3/store.ts
+++ b/review/standins-3/store.ts
@@ -6,6 +6,7 @@
 const OFFSET_BYTES = 8;
 const BYTES_PER_KB = 1_024;
 const MS_PER_SECOND = 1_000;
+const BYTES_PER_MB = 1_000_000;
 const DEFAULT_PAGE_KB = 1_024;
 const KEYED_PREFIX = 'keyed.';
 const JSON_HEADERS = { 'Content-Type': 'application/json' };
@@ -13,6 +14,8 @@
 /** The limits of the store, named as in the settings. */
 export interface StoreLimits {
   readonly retentionS: number;
+  /** How much a partition holds, in megabytes. */
+  readonly partMb: number;
   readonly recordBytes: number;
   readonly callBytes: number;
 }
@@ -28,6 +31,8 @@
 
   readonly records: StoredRecord[] = [];
 
+  bytes = 0;
+
   readonly waiting = new Set<() => void>();
 
   get end(): number {
@@ -62,6 +67,8 @@
 
   readonly #topics = new Map<string, Topic>();
 
+  readonly #appendedBytes = new Map<string, number>();
+
   readonly #server = http.createServer((req, res) => {
     this.#handle(req, res).catch(() => res.destroy());
   });
@@ -74,6 +81,11 @@
     this.address = await listen(this.#server);
   }
 
+  /** How much was ever appended to a topic, in bytes. */
+  countAppended(name: string): number {
+    return this.#appendedBytes.get(name) ?? 0;
+  }
+
   stop(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -89,8 +101,14 @@
   #append(name: string, frames: readonly Buffer[]): { offset: number; end: number } {
     const topic = this.#open(name);
     const offset = topic.end;
+    const bytesSoFar = this.countAppended(name);
+    const addedBytes = frames.reduce((sum, { length }) => sum + length, 0);
+    this.#appendedBytes.set(name, bytesSoFar + addedBytes);
     const at = Date.now();
-    frames.forEach((bytes) => topic.records.push({ bytes, at }));
+    frames.forEach((bytes) => {
+      topic.records.push({ bytes, at });
+      topic.bytes += bytes.length;
+    });
     [...topic.waiting].forEach((wake) => wake());
     return { offset, end: topic.end };
   }
@@ -101,8 +119,14 @@
     this.#topics.set(name, topic);
     if (name.startsWith(KEYED_PREFIX)) return topic;
     const oldest = Date.now() - this.limits.retentionS * MS_PER_SECOND;
-    const firstKept = topic.records.findIndex(({ at }) => at >= oldest);
-    const expired = firstKept < 0 ? topic.records.length : firstKept;
+    const maxBytes = this.limits.partMb * BYTES_PER_MB;
+    const isExpired = ({ at }: StoredRecord): boolean => at < oldest || topic.bytes > maxBytes;
+    let expired = 0;
+    for (const record of topic.records) {
+      if (!isExpired(record)) break;
+      topic.bytes -= record.bytes.length;
+      expired += 1;
+    }
     topic.records.splice(0, expired);
     topic.first += expired;
     return topic;
