Lay the third review's files out as the earlier ones

A case's folder holds its driver, and the stand-ins are files of review/. A script without its build exits with 2, and so does one that fails unexpectedly.

--- a/review/standins-3/deployment.ts
+++ b/review/deployment-3.ts
@@ -7,8 +7,8 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { Replica, type ReplicaOptions } from './replica';
-import { Store, type StoreLimits, listen, readBody } from './store';
+import { Replica, type ReplicaOptions } from './replica-3';
+import { Store, type StoreLimits, listen, readBody } from './store-3';
 
 export const HOST = 'ficu95.example';
 export const KEY = '3fexd9dnn2ctnfzs989a';
@@ -381,7 +381,7 @@
 
   /** Starts a replica in a process of its own and registers it. */
   async addReplicaProcess(service: string, options: ReplicaOptions): Promise<ReplicaProcess> {
-    const path = new URL('./replica-process.mjs', import.meta.url).pathname;
+    const path = new URL('./replica-process-3.mjs', import.meta.url).pathname;
     const child = spawn(process.execPath, [path, JSON.stringify(options)], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
@@ -509,9 +509,9 @@
   const deployment = new Deployment(recorder.record, options);
   let exitCode = 2;
   let outcome = '';
-  // A case that is stopped early ends its processes as well.
-  ['SIGINT', 'SIGTERM'].forEach((signal) =>
-    process.once(signal, () => {
+  // A case that is stopped early, or fails unexpectedly, ends its processes as well.
+  ['SIGINT', 'SIGTERM', 'uncaughtException', 'unhandledRejection'].forEach((event) =>
+    process.once(event, () => {
       void deployment.stop().then(() => process.exit(2));
     }),
   );
--- a/review/standins-3/replica.ts
+++ b/review/replica-3.ts
@@ -2,7 +2,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { listen, readBody } from './store';
+import { listen, readBody } from './store-3';
 
 /** What a replica is and how it works. */
 export interface ReplicaOptions {
