--- a/review/deployment-3.ts
+++ b/review/deployment-3.ts
@@ -2,7 +2,7 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http, { type IncomingHttpHeaders } from 'node:http';
-import { type AddressInfo, createServer } from 'node:net';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -45,6 +45,10 @@
   settleMs: 1_000,
 };
 const HEARTBEAT_MS = 1_200;
+const FIRST_PORT = 10_000;
+const PORTS_PER_DRIVER = 16;
+const DRIVERS = 1_300;
+let nextPort = FIRST_PORT + (process.pid % DRIVERS) * PORTS_PER_DRIVER;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 50;
 
@@ -530,16 +534,26 @@
   process.exit(exitCode);
 }
 
+/**
+ * Finds a free port below those of outgoing connections. Each driver has a block of its own, so that
+ * drivers that run side by side don't take one another's ports before their programs listen.
+ */
 async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
+  for (;;) {
+    const port = nextPort;
+    nextPort += 1;
+    const server = createServer();
+    const isFree = await new Promise<boolean>((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (isFree) {
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+      return port;
+    }
+  }
 }
 
 /** Reads the command of the deploy file, with another port for the metrics. */
